--- a/call.go
+++ b/call.go
@@ -25,7 +25,14 @@
 	Parent         string      `cbor:"16,keyasint,omitempty"`
 	// Claimed marks a call that goes to the owner of its idempotency key.
 	Claimed bool   `cbor:"17,keyasint,omitempty"`
-	Body    []byte `cbor:"-"`
+	Host    string `cbor:"18,keyasint,omitempty"`
+	// Origin is the service beside the node where the request began.
+	Origin string `cbor:"19,keyasint,omitempty"`
+	// Rank is the importance of the call's client account, which goes before the route's.
+	Rank int `cbor:"20,keyasint,omitempty"`
+	// Aim is the latency objective, in milliseconds.
+	Aim  Millis `cbor:"21,keyasint,omitempty"`
+	Body []byte `cbor:"-"`
 	// Deadline is the local clock's reading of Budget's end; it never crosses the network.
 	Deadline Millis `cbor:"-"`
 }
@@ -47,7 +54,9 @@
 	Draining    bool        `cbor:"6,keyasint,omitempty"`
 	Visits      []Visit     `cbor:"7,keyasint,omitempty"`
 	Own         Millis      `cbor:"8,keyasint,omitempty"`
-	Body        []byte      `cbor:"-"`
+	// Reached marks a refused call that was sent to the upstream.
+	Reached bool   `cbor:"9,keyasint,omitempty"`
+	Body    []byte `cbor:"-"`
 }
 
 // Refuse returns the answer that refuses call id with f.
--- /dev/null
+++ b/cmd/pomelo/cmd_sidecar.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/clock"
+	"github.com/pomeloworks/pomelo/mesh"
+	"github.com/pomeloworks/pomelo/metric"
+	"github.com/pomeloworks/pomelo/platform"
+)
+
+const (
+	// settingsPoll is how often the settings file is looked at, in milliseconds.
+	settingsPoll = pomelo.Millis(1_000)
+	// heapShare of the process's memory limit is where the collector begins to work harder.
+	heapShare = 0.6
+)
+
+func cmdSidecar() command {
+	return command{
+		Name:      "sidecar",
+		Summary:   "runs the node beside an upstream on the users' platform",
+		Arguments: "[-settings FILE] [-metrics_port PORT]",
+		Action:    runSidecar,
+	}
+}
+
+func runSidecar(ctx context.Context, c call) error {
+	path := c.Flags.String("settings", os.Getenv(platform.SettingsVariable), "the platform's settings `file`")
+	port := c.Flags.String("metrics_port", "", "the `port` of the node's address that serves its metrics")
+	if err := c.parse(); err != nil {
+		return err
+	}
+	raw, settings, err := readHostSettings(*path)
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(int64(heapShare * float64(settings.MemoryBytes)))
+	n, err := mesh.New(settings, host(settings), mesh.WithOutput(c.Output), mesh.WithMetricsPort(*port))
+	if err != nil {
+		return err
+	}
+	if err := n.Start(); err != nil {
+		return err
+	}
+	go followSettings(ctx, n, *path, raw)
+	<-ctx.Done()
+	n.Stop()
+	return nil
+}
+
+func host(s pomelo.HostSettings) mesh.Host {
+	return mesh.Host{
+		Store:       platform.NewStore(s.StoreURL, metric.New()),
+		Dialect:     platform.NewDialect(),
+		PolicyKey:   platform.KeyPolicy,
+		ParsePolicy: platform.ParsePolicy,
+		Control: func(a mesh.Upstreams, log pomelo.Logger) http.Handler {
+			return platform.Control(a, log)
+		},
+		Ready: platform.Ready,
+	}
+}
+
+func readHostSettings(path string) ([]byte, pomelo.HostSettings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, pomelo.HostSettings{}, pomelo.NewFault(pomelo.KindBadSettings, err.Error(), "set "+platform.SettingsVariable+" or pass -settings FILE")
+	}
+	s, err := platform.ParseSettings(raw)
+	return raw, s, err
+}
+
+// followSettings reloads the file on a signal, and when it has changed without one.
+func followSettings(ctx context.Context, n *mesh.Node, path string, before []byte) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	k := clock.New()
+	changed := make(chan struct{}, 1)
+	go func() {
+		for k.Sleep(ctx, settingsPoll) == nil {
+			raw, err := os.ReadFile(path)
+			if err == nil && !bytes.Equal(raw, before) {
+				before = raw
+				changed <- struct{}{}
+			}
+		}
+	}()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		case <-changed:
+		}
+		_, s, err := readHostSettings(path)
+		n.Reload(s, err)
+	}
+}
--- a/cmd/pomelo/command.go
+++ b/cmd/pomelo/command.go
@@ -43,6 +43,7 @@
 func commands() []command {
 	return []command{
 		cmdNode(),
+		cmdSidecar(),
 		cmdCheck(),
 		cmdAsk(),
 		cmdBurn(),
--- a/dialer/pool.go
+++ b/dialer/pool.go
@@ -61,6 +61,11 @@
 	return func(p *Pool) { p.dialTimeout = d }
 }
 
+// WithClock takes the times of calls and waits from c.
+func WithClock(c pomelo.Clock) func(*Pool) {
+	return func(p *Pool) { p.clock = c }
+}
+
 // WithMetrics counts silent connections and what became of calls in doubt.
 func WithMetrics(m pomelo.Metrics) func(*Pool) {
 	return func(p *Pool) { p.metrics = m }
--- /dev/null
+++ b/mesh/parts.go
@@ -0,0 +1,171 @@
+package mesh
+
+import (
+	"hash/maphash"
+
+	"github.com/google/uuid"
+	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/beacon"
+	"github.com/pomeloworks/pomelo/clock"
+	"github.com/pomeloworks/pomelo/dialer"
+	"github.com/pomeloworks/pomelo/fence"
+	"github.com/pomeloworks/pomelo/ident"
+	"github.com/pomeloworks/pomelo/inlet"
+	"github.com/pomeloworks/pomelo/intake"
+	"github.com/pomeloworks/pomelo/listen"
+	"github.com/pomeloworks/pomelo/logs"
+	"github.com/pomeloworks/pomelo/metric"
+	"github.com/pomeloworks/pomelo/pick"
+	"github.com/pomeloworks/pomelo/queue"
+	"github.com/pomeloworks/pomelo/rates"
+	"github.com/pomeloworks/pomelo/ratio"
+	"github.com/pomeloworks/pomelo/send"
+	"github.com/pomeloworks/pomelo/tenure"
+	"github.com/pomeloworks/pomelo/uplink"
+	"github.com/pomeloworks/pomelo/usage"
+	"github.com/pomeloworks/pomelo/view"
+	"github.com/pomeloworks/pomelo/wire"
+	"github.com/pomeloworks/pomelo/worker"
+	"go.uber.org/fx"
+)
+
+const (
+	// retryPart of the platform's share is spent, since sub-calls of repeated calls count as well.
+	retryPart = 0.5
+	// retryFloor is how many retries in ten seconds a node may send to a service that it hardly calls.
+	retryFloor = 1
+	// placements bounds the members that are asked for one call while none has sent it to an upstream.
+	placements = 4
+	// dialTimeout is for a peer within a region: some ten round trips, in milliseconds.
+	dialTimeout = pomelo.Millis(250)
+	// headBytes and bodyBytes bound a message between nodes.
+	headBytes = 256 << 10
+	bodyBytes = 64 << 20
+)
+
+// parts are what the node's life deals with.
+type parts struct {
+	fx.In
+	Clock    *clock.Clock
+	Log      pomelo.Logger
+	Metrics  *metric.Sink
+	Identity *ident.Identity
+	Beacon   *beacon.Beacon
+	View     *view.View
+	Tenure   *tenure.Tenure
+	Rates    *rates.Limiter
+	Worker   *worker.Worker
+	Fence    *fence.Table
+	Dialer   *dialer.Pool
+	Listen   *listen.Server
+	Inlet    *inlet.Server
+	Queue    *queue.Queue
+	Usage    *usage.Meter
+}
+
+func providers() fx.Option {
+	return fx.Provide(
+		func() *clock.Clock { return clock.New(clock.WithBoot()) },
+		func() *metric.Sink { return metric.New() },
+		ident.New,
+		func() *wire.Codec { return wire.New(wire.WithLimits(headBytes, bodyBytes)) },
+		newLogger,
+		newBeacon,
+		newView,
+		newTenure,
+		newDialer,
+		newRates,
+		newQueue,
+		newWorker,
+		newFence,
+		newListen,
+		newSender,
+		newIntake,
+		newInlet,
+		func(c *clock.Clock, d *dialer.Pool, l *listen.Server) *usage.Meter { return usage.New(c, d, l) },
+	)
+}
+
+func newLogger(n *Node, c *clock.Clock) pomelo.Logger {
+	return logs.New(n.output, logs.WithFields("vm", n.settings.VM), logs.WithClock(c))
+}
+
+func newBeacon(n *Node, c *clock.Clock, i *ident.Identity, log pomelo.Logger) *beacon.Beacon {
+	m := pomelo.Member{
+		VM:               n.settings.VM,
+		AvailabilityZone: n.settings.AvailabilityZone,
+		Incarnation:      uuid.NewString(),
+		Address:          n.settings.PeerAddress,
+		Fingerprint:      i.Fingerprint(),
+	}
+	return beacon.New(n.host.Store, c, log, m)
+}
+
+func newView(n *Node, c *clock.Clock, b *beacon.Beacon, log pomelo.Logger) *view.View {
+	return view.New(n.host.Store, c, log, n.host.PolicyKey, n.host.ParsePolicy, b.Member)
+}
+
+func newTenure(v *view.View, c *clock.Clock) *tenure.Tenure {
+	t := tenure.New(v, c)
+	v.OnChange(t.Change)
+	return t
+}
+
+func newDialer(i *ident.Identity, w *wire.Codec, c *clock.Clock, m *metric.Sink) *dialer.Pool {
+	return dialer.New(i, w, dialer.WithClock(c), dialer.WithMetrics(m), dialer.WithDialTimeout(dialTimeout))
+}
+
+func newRates(v *view.View, t *tenure.Tenure, d *dialer.Pool, c *clock.Clock, m *metric.Sink) *rates.Limiter {
+	return rates.New(accounts{knowledge: v}, t, v, d, c, m, newSeed())
+}
+
+func newQueue(c *clock.Clock) *queue.Queue {
+	return queue.New(c, newSeed())
+}
+
+func newWorker(n *Node, c *clock.Clock, q *queue.Queue, b *beacon.Beacon, m *metric.Sink, log pomelo.Logger) *worker.Worker {
+	link := uplink.New(n.host.Dialect, c, m)
+	changed := func(i pomelo.Instance, serving bool) {
+		b.Describe(func(x *pomelo.Member) {
+			x.Service = i.Service
+			x.Slots = i.Slots
+			x.Draining = !serving || n.stopping.Load()
+		})
+	}
+	return worker.New(c, q, link, m, log, changed)
+}
+
+func newFence(c *clock.Clock, w *worker.Worker) *fence.Table {
+	return fence.New(c, w)
+}
+
+func newListen(i *ident.Identity, w *wire.Codec, v *view.View, f *fence.Table, r *rates.Limiter, log pomelo.Logger) *listen.Server {
+	s := listen.New(i, w, v, f, log, listen.WithFencer(f))
+	s.Respond(pomelo.MessageGrant, r.Answer)
+	return s
+}
+
+func newSender(n *Node, c *clock.Clock, v *view.View, d *dialer.Pool, w *worker.Worker, m *metric.Sink) *send.Sender {
+	p := pick.New(c, newSeed(), pick.WithAvailabilityZone(n.settings.AvailabilityZone))
+	r := ratio.New(c, ratio.WithShare(retryPart*n.settings.RetryShare, retryFloor))
+	return send.New(c, v, p, d, w, m, send.WithRetryLimiter(r), send.WithPlacements(placements))
+}
+
+func newIntake(n *Node, c *clock.Clock, v *view.View, r *rates.Limiter, s *send.Sender, w *worker.Worker, m *metric.Sink, log pomelo.Logger) *intake.Intake {
+	return intake.New(c, n.host.Dialect, v, r, s, m, log, n.settings.Service, n.settings.KeyMaxAge, intake.WithParents(w.Parent))
+}
+
+func newInlet(c *clock.Clock, i *intake.Intake, v *view.View, m *metric.Sink, log pomelo.Logger) *inlet.Server {
+	limits := func() pomelo.TrafficLimits {
+		p, ok := v.Policy()
+		if !ok {
+			return pomelo.TrafficLimits{}
+		}
+		return p.Limits()
+	}
+	return inlet.New(c, log, m, i.Handle, limits)
+}
+
+func newSeed() uint64 {
+	return maphash.Bytes(maphash.MakeSeed(), nil)
+}
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,96 @@
+package policy
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/pomeloworks/pomelo"
+)
+
+// Policy implements pomelo.Policy.
+type Policy struct {
+	version  int64
+	limits   pomelo.TrafficLimits
+	routes   map[string][]pomelo.TrafficRoute
+	accounts map[string]pomelo.TrafficAccount
+	keys     map[string]string
+}
+
+var _ pomelo.Policy = (*Policy)(nil)
+
+// New indexes the policy; of two routes of one host with equal prefixes the first by name holds.
+func New(spec pomelo.PolicySpec) *Policy {
+	p := &Policy{
+		version:  spec.Version,
+		limits:   spec.Limits,
+		routes:   map[string][]pomelo.TrafficRoute{},
+		accounts: map[string]pomelo.TrafficAccount{},
+		keys:     map[string]string{},
+	}
+	for _, r := range spec.Routes {
+		p.routes[r.Host] = append(p.routes[r.Host], r)
+	}
+	for _, rs := range p.routes {
+		slices.SortFunc(rs, longestFirst)
+	}
+	for _, a := range spec.Accounts {
+		p.accounts[a.Name] = a
+		for _, k := range a.KeyIDs {
+			p.keys[k] = a.Name
+		}
+	}
+	return p
+}
+
+func longestFirst(a, b pomelo.TrafficRoute) int {
+	if len(a.Prefix) != len(b.Prefix) {
+		return len(b.Prefix) - len(a.Prefix)
+	}
+	return strings.Compare(a.Name, b.Name)
+}
+
+// Version orders policies; a higher one replaces a lower one.
+func (p *Policy) Version() int64 {
+	return p.version
+}
+
+// Limits bound what callers may send.
+func (p *Policy) Limits() pomelo.TrafficLimits {
+	return p.limits
+}
+
+// Match finds the route of the host with the longest prefix of the path.
+func (p *Policy) Match(host, path string) (pomelo.TrafficRoute, bool) {
+	name := strings.ToLower(host)
+	rs, ok := p.routes[name]
+	if !ok {
+		name, _, _ = strings.Cut(name, ":")
+		rs = p.routes[name]
+	}
+	for _, r := range rs {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return pomelo.TrafficRoute{}, false
+}
+
+// Owner is the account that holds the key.
+func (p *Policy) Owner(keyID string) (pomelo.TrafficAccount, bool) {
+	name, ok := p.keys[keyID]
+	if !ok {
+		return pomelo.TrafficAccount{}, false
+	}
+	return p.Account(name)
+}
+
+// Account finds an account by its name.
+func (p *Policy) Account(name string) (pomelo.TrafficAccount, bool) {
+	a, ok := p.accounts[name]
+	return a, ok
+}
+
+// HasAccounts reports whether requests need a key at all.
+func (p *Policy) HasAccounts() bool {
+	return len(p.accounts) > 0
+}
--- a/send/sender.go
+++ b/send/sender.go
@@ -17,6 +17,8 @@
 	local     pomelo.Handler
 	metrics   pomelo.Metrics
 	retries   pomelo.RetryLimiter
+	// placements bounds the members asked for one call where a refusal before the upstream costs no retry; 0 has each cost one.
+	placements int
 }
 
 // New returns a sender; calls that it picks this node for go to local without the network.
@@ -41,6 +43,11 @@
 	return func(s *Sender) { s.retries = l }
 }
 
+// WithPlacements lets up to so many members in all refuse a call before their upstream has seen it, without a retry being spent.
+func WithPlacements(n int) func(*Sender) {
+	return func(s *Sender) { s.placements = n }
+}
+
 // Handle sends the call until it is answered, its retries are spent, or no member is left; the answer brings back the unspent ones.
 func (s *Sender) Handle(ctx context.Context, c pomelo.Call) pomelo.Answer {
 	p := newBudget(c.Retries)
@@ -76,7 +83,16 @@
 
 // next chooses the member for another attempt and pays for it; false means that the answer is final.
 func (s *Sender) next(ctx context.Context, c pomelo.Call, a pomelo.Answer, p *budget, tried []string) (pomelo.Member, bool) {
-	if !again(ctx, c, a) || p.left == 0 {
+	if !again(ctx, c, a) {
+		return pomelo.Member{}, false
+	}
+	if s.isFree(a) {
+		if len(tried) >= s.placements {
+			return pomelo.Member{}, false
+		}
+		return s.picker.Pick(c, s.members.Serving(c.Service), tried)
+	}
+	if p.left == 0 {
 		return pomelo.Member{}, false
 	}
 	m, ok := s.picker.Pick(c, s.members.Serving(c.Service), tried)
@@ -87,6 +103,11 @@
 	return m, true
 }
 
+// isFree reports whether the call was refused before any upstream saw it.
+func (s *Sender) isFree(a pomelo.Answer) bool {
+	return s.placements > 0 && !a.Reached && a.Refusal.Ran == pomelo.RanNo
+}
+
 // allowed lets a call that a leaving upstream turned away go on whatever the ratio: a planned stop is no sign of overload.
 func (s *Sender) allowed(c pomelo.Call, a pomelo.Answer) bool {
 	return a.Refusal.Kind == pomelo.KindDraining || s.retries.Retry(c.Service)
--- /dev/null
+++ b/uplink/conn.go
@@ -0,0 +1,47 @@
+package uplink
+
+import (
+	"bufio"
+	"net"
+	"syscall"
+
+	"github.com/pomeloworks/pomelo"
+)
+
+const bufferBytes = 4 << 10
+
+// conn is one kept connection; it carries one call at a time.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	// until is when the upstream may close the connection as idle.
+	until pomelo.Millis
+	used  bool
+}
+
+func newConn(c net.Conn) *conn {
+	return &conn{Conn: c, reader: bufio.NewReaderSize(c, bufferBytes)}
+}
+
+// isClean reports whether nothing has arrived since the last answer, neither bytes nor the connection's end.
+func (c *conn) isClean() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	clean := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		n, err := syscall.Read(int(fd), one[:])
+		clean = n < 0 && err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && clean
+}
--- /dev/null
+++ b/view/view.go
@@ -0,0 +1,308 @@
+package view
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+
+	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/policy"
+)
+
+// Times in milliseconds.
+const (
+	// readEvery keeps the age of keys well below the shortest bound on withdrawn keys, 5 s.
+	readEvery = pomelo.Millis(1_200)
+	// retryAfter is the pause after a failed call of the store.
+	retryAfter = pomelo.Millis(250)
+	// watchWait is below the longest wait that the store allows, 30 s.
+	watchWait = pomelo.Millis(25_000)
+	// gatherFor lets changes that come together arrive in one watch.
+	gatherFor = pomelo.Millis(100)
+	// lagLimit is how long a watch may lack a change that a read has shown before it is taken as silent.
+	lagLimit = pomelo.Millis(400)
+	// lingerFor is how long a member whose record lapsed is still tried; the platform brings lapsed ones back within 2 s.
+	lingerFor = pomelo.Millis(2_500)
+	// neverRead is the age before the first read.
+	neverRead = pomelo.Millis(1) << 40
+)
+
+// View implements pomelo.Knowledge and pomelo.Membership over the store's records.
+type View struct {
+	store     pomelo.Store
+	clock     pomelo.SteadyClock
+	log       pomelo.Logger
+	policyKey string
+	parse     func([]byte) (pomelo.PolicySpec, error)
+	self      func() pomelo.Member
+
+	mu       sync.Mutex
+	policy   pomelo.Policy
+	provenAt pomelo.Millis
+	proven   bool
+	members  members
+	watched  pomelo.Revision
+	lagging  lag
+	restart  context.CancelFunc
+	notify   []func()
+}
+
+// lag is a revision that a read has shown and the watch has not reached, and when the read began.
+type lag struct {
+	revision pomelo.Revision
+	start    pomelo.Millis
+	seen     pomelo.Millis
+}
+
+var (
+	_ pomelo.Knowledge  = (*View)(nil)
+	_ pomelo.Membership = (*View)(nil)
+)
+
+// New returns a view that knows nothing before Run; policyKey is the store's key of the policy, which parse decodes.
+func New(store pomelo.Store, clock pomelo.SteadyClock, log pomelo.Logger, policyKey string, parse func([]byte) (pomelo.PolicySpec, error), self func() pomelo.Member, opts ...func(*View)) *View {
+	v := &View{
+		store:     store,
+		clock:     clock,
+		log:       log,
+		policyKey: policyKey,
+		parse:     parse,
+		self:      self,
+		members:   newMembers(),
+	}
+	for _, o := range opts {
+		o(v)
+	}
+	return v
+}
+
+// OnChange has f called after each change of the members; it must be set before Run.
+func (v *View) OnChange(f func()) {
+	v.notify = append(v.notify, f)
+}
+
+// Policy is the newest policy, false until one has been read.
+func (v *View) Policy() (pomelo.Policy, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.policy, v.policy != nil
+}
+
+// Age is how long ago the read began that proved the policy.
+func (v *View) Age() pomelo.Millis {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.proven {
+		return neverRead
+	}
+	return v.clock.Steady() - v.provenAt
+}
+
+// MembersAge is how long ago the read began that proved the members.
+func (v *View) MembersAge() pomelo.Millis {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.members.proven {
+		return neverRead
+	}
+	return v.clock.Steady() - v.members.provenAt
+}
+
+// Run follows the store until the context ends.
+func (v *View) Run(ctx context.Context) {
+	go v.follow(ctx)
+	for ctx.Err() == nil {
+		pause := readEvery
+		if err := v.read(ctx); err != nil {
+			v.log.Warn("store_read_failed", "age_ms", v.Age(), "error", err.Error())
+			pause = retryAfter
+		}
+		_ = v.clock.Sleep(ctx, pause)
+	}
+}
+
+// read proves the policy, and the members as soon as the watch has reached the revision read.
+func (v *View) read(ctx context.Context) error {
+	start := v.clock.Steady()
+	l, err := v.store.List(ctx, v.policyKey)
+	if err != nil {
+		return err
+	}
+	for _, r := range l.Records {
+		v.adopt(r, "read")
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.prove(start)
+	v.compare(l.Revision, start)
+	return nil
+}
+
+func (v *View) prove(start pomelo.Millis) {
+	if v.proven && start < v.provenAt {
+		return
+	}
+	if !v.proven || v.clock.Steady()-v.provenAt > lingerFor {
+		v.log.Info("store_regained", "revision", v.watched)
+	}
+	v.proven = true
+	v.provenAt = start
+}
+
+// compare proves the members, or ends a watch that has fallen silent; the mutex is held.
+func (v *View) compare(revision pomelo.Revision, start pomelo.Millis) {
+	if v.watched >= revision {
+		v.members.prove(start)
+		return
+	}
+	now := v.clock.Steady()
+	if v.lagging.revision > v.watched && now-v.lagging.seen > lagLimit && v.restart != nil {
+		v.log.Warn("watch_silent", "watched", v.watched, "read", revision)
+		v.restart()
+	}
+	if v.lagging.revision <= v.watched {
+		v.lagging = lag{revision: revision, start: start, seen: now}
+	}
+}
+
+// reached takes the watch's progress; the mutex is held.
+func (v *View) reached(revision pomelo.Revision) {
+	v.watched = max(v.watched, revision)
+	if v.lagging.revision > 0 && v.watched >= v.lagging.revision {
+		v.members.prove(v.lagging.start)
+		v.lagging = lag{}
+	}
+}
+
+// follow lists everything and then watches it, over and over.
+func (v *View) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := v.list(ctx); err != nil {
+			v.log.Warn("store_list_failed", "error", err.Error())
+			_ = v.clock.Sleep(ctx, retryAfter)
+			continue
+		}
+		v.watch(ctx)
+	}
+}
+
+func (v *View) list(ctx context.Context) error {
+	start := v.clock.Steady()
+	l, err := v.store.List(ctx, pomelo.PrefixMember)
+	if err != nil {
+		return err
+	}
+	v.mu.Lock()
+	v.watched = l.Revision
+	changed := v.members.replace(decodeAll(l.Records, v.log), v.clock.Steady())
+	v.reached(l.Revision)
+	v.members.prove(start)
+	v.mu.Unlock()
+	v.log.Info("members_listed", "count", len(l.Records), "revision", l.Revision)
+	v.changed(changed)
+	return nil
+}
+
+// watch returns when the records have to be listed anew.
+func (v *View) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		watching, cancel := context.WithCancel(ctx)
+		v.mu.Lock()
+		since := v.watched
+		v.restart = cancel
+		v.mu.Unlock()
+		l, err := v.store.Watch(watching, "", since, watchWait)
+		cancel()
+		if pomelo.IsKind(err, pomelo.KindCompacted) {
+			v.log.Warn("watch_compacted", "revision", since)
+			return
+		}
+		if err != nil {
+			v.log.Warn("watch_failed", "revision", since, "error", err.Error())
+			_ = v.clock.Sleep(ctx, retryAfter)
+			continue
+		}
+		v.apply(l)
+		if len(l.Records) > 0 {
+			_ = v.clock.Sleep(ctx, gatherFor)
+		}
+	}
+}
+
+func (v *View) apply(l pomelo.Listing) {
+	now := v.clock.Steady()
+	changed := false
+	for _, r := range l.Records {
+		if r.Key == v.policyKey {
+			v.adopt(r, "watch")
+			continue
+		}
+		if strings.HasPrefix(r.Key, pomelo.PrefixMember) {
+			changed = v.take(r, now) || changed
+		}
+	}
+	v.mu.Lock()
+	v.reached(l.Revision)
+	v.mu.Unlock()
+	v.changed(changed)
+}
+
+func (v *View) take(r pomelo.Record, now pomelo.Millis) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	vm := strings.TrimPrefix(r.Key, pomelo.PrefixMember)
+	if r.Deleted {
+		return v.members.lapse(vm, now)
+	}
+	m, ok := decode(r, v.log)
+	return ok && v.members.set(m, now)
+}
+
+func (v *View) changed(yes bool) {
+	if !yes {
+		return
+	}
+	for _, f := range v.notify {
+		f()
+	}
+}
+
+// adopt takes a policy of a higher version; an unusable one is passed over.
+func (v *View) adopt(r pomelo.Record, source string) {
+	if r.Key != v.policyKey || r.Deleted {
+		return
+	}
+	spec, err := v.parse(r.Value)
+	if err != nil {
+		v.log.Warn("policy_unusable", "revision", r.Revision, "error", err.Error())
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.policy != nil && spec.Version <= v.policy.Version() {
+		return
+	}
+	v.policy = policy.New(spec)
+	v.log.Info("policy_adopted", "version", spec.Version, "revision", r.Revision, "source", source, "routes", len(spec.Routes), "accounts", len(spec.Accounts))
+}
+
+func decodeAll(records []pomelo.Record, log pomelo.Logger) []pomelo.Member {
+	var out []pomelo.Member
+	for _, r := range records {
+		if m, ok := decode(r, log); ok {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func decode(r pomelo.Record, log pomelo.Logger) (pomelo.Member, bool) {
+	var m pomelo.Member
+	err := json.Unmarshal(r.Value, &m)
+	if err != nil || pomelo.PrefixMember+m.VM != r.Key {
+		log.Warn("member_unreadable", "key", r.Key, "revision", r.Revision)
+		return m, false
+	}
+	return m, true
+}
--- /dev/null
+++ b/worker/state.go
@@ -0,0 +1,21 @@
+package worker
+
+import "github.com/pomeloworks/pomelo"
+
+// state is what the upstream last said of itself.
+type state struct {
+	instance pomelo.Instance
+	known    bool
+	heard    pomelo.Millis
+}
+
+// outdates reports whether i says something newer than what is known.
+func (s *state) outdates(i pomelo.Instance) bool {
+	if !s.known {
+		return true
+	}
+	if i.ID == s.instance.ID && i.Born == s.instance.Born {
+		return i.Sequence > s.instance.Sequence
+	}
+	return i.Born >= s.instance.Born
+}
--- /dev/null
+++ b/worker/worker.go
@@ -0,0 +1,207 @@
+package worker
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/uplink"
+)
+
+// drainReturn is when a caller may find another upstream in place of one that leaves, in milliseconds.
+const drainReturn = pomelo.Millis(200)
+
+// Worker implements pomelo.Handler for this node's upstream.
+type Worker struct {
+	clock   pomelo.Clock
+	gate    pomelo.Gate
+	link    *uplink.Link
+	metrics pomelo.Metrics
+	log     pomelo.Logger
+	changed func(pomelo.Instance, bool)
+
+	mu       sync.Mutex
+	state    state
+	running  map[string]pomelo.Call
+	count    int
+	draining bool
+}
+
+// New returns a worker without an upstream; changed is told of each change of it, and whether it takes calls.
+func New(clock pomelo.Clock, gate pomelo.Gate, link *uplink.Link, metrics pomelo.Metrics, log pomelo.Logger, changed func(pomelo.Instance, bool), opts ...func(*Worker)) *Worker {
+	w := &Worker{
+		clock:   clock,
+		gate:    gate,
+		link:    link,
+		metrics: metrics,
+		log:     log,
+		changed: changed,
+		running: map[string]pomelo.Call{},
+	}
+	for _, o := range opts {
+		o(w)
+	}
+	return w
+}
+
+// Announce takes a heartbeat; late and repeated ones change nothing.
+func (w *Worker) Announce(i pomelo.Instance) {
+	w.mu.Lock()
+	if !w.state.outdates(i) {
+		w.mu.Unlock()
+		w.log.Info("heartbeat_ignored", "upstream", i.ID, "born", i.Born, "sequence", i.Sequence, "reason", "outdated")
+		return
+	}
+	before := w.state
+	w.state = state{instance: i, known: true, heard: w.clock.Now()}
+	fresh := !before.known || describes(before.instance) != describes(i)
+	w.mu.Unlock()
+	if !fresh {
+		return
+	}
+	w.log.Info("upstream_changed", "upstream", i.ID, "service", i.Service, "born", i.Born, "sequence", i.Sequence, "slots", i.Slots, "leaving", i.Leaving, "warmup_ms", i.Warmup)
+	w.gate.Announce(i.Slots, 0)
+	w.changed(i, !i.Leaving)
+}
+
+// Withdraw takes a deregistration; born is 0 where the upstream does not say which start it is of.
+func (w *Worker) Withdraw(id string, born pomelo.Millis) {
+	w.mu.Lock()
+	i := w.state.instance
+	if !w.state.known || i.ID != id || born != 0 && born < i.Born {
+		w.mu.Unlock()
+		w.log.Info("withdrawal_ignored", "upstream", id, "born", born, "known", i.ID)
+		return
+	}
+	w.state.instance.Leaving = true
+	i = w.state.instance
+	w.mu.Unlock()
+	w.log.Info("upstream_withdrawn", "upstream", id, "born", i.Born)
+	w.changed(i, false)
+}
+
+// identity is what of an upstream concerns others.
+type identity struct {
+	id      string
+	address string
+	service string
+	born    pomelo.Millis
+	slots   int
+	leaving bool
+}
+
+func describes(i pomelo.Instance) identity {
+	return identity{id: i.ID, address: i.Address, service: i.Service, born: i.Born, slots: i.Slots, leaving: i.Leaving}
+}
+
+// Drain has new calls refused as not run; those that run go on.
+func (w *Worker) Drain() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.draining = true
+}
+
+// Running counts the calls that run or wait.
+func (w *Worker) Running() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.count
+}
+
+// Parent is the running call that a sub-call with this id prefix serves.
+func (w *Worker) Parent(id string) (pomelo.Call, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c, ok := w.running[id]
+	return c, ok
+}
+
+// Handle runs one call; its refusals are final, and it spends no retries.
+func (w *Worker) Handle(ctx context.Context, c pomelo.Call) pomelo.Answer {
+	a := w.handle(ctx, c)
+	a.RetriesLeft = c.Retries
+	return a
+}
+
+func (w *Worker) handle(ctx context.Context, c pomelo.Call) pomelo.Answer {
+	arrived := w.clock.Now()
+	c.Deadline = arrived + c.Budget
+	ctx, cancel := context.WithTimeout(ctx, c.Budget.Duration())
+	defer cancel()
+	if f := w.admit(c); f != nil {
+		return pomelo.Refuse(c.ID, f)
+	}
+	defer w.release(c)
+	pass, err := w.gate.Enter(ctx, c)
+	if err != nil {
+		return w.refused(c, pomelo.FaultOf(err), arrived)
+	}
+	began := w.clock.Now()
+	a := w.run(ctx, c)
+	took := w.clock.Now() - began
+	pass.End(took, a.Refusal == nil)
+	w.metrics.Time("worker.wait", float64(began-arrived))
+	w.metrics.Time("worker.run", float64(took))
+	if a.Refusal != nil {
+		return w.failed(c, a, arrived, took)
+	}
+	a.Own = took
+	return a
+}
+
+func (w *Worker) run(ctx context.Context, c pomelo.Call) pomelo.Answer {
+	i, f := w.upstream(c.Service)
+	if f != nil {
+		return pomelo.Refuse(c.ID, f)
+	}
+	a := w.link.Do(ctx, i, c)
+	a.Reached = true
+	return a
+}
+
+// upstream is looked at again right before the call is sent, since it may have left meanwhile.
+func (w *Worker) upstream(service string) (pomelo.Instance, *pomelo.Fault) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	i := w.state.instance
+	if !w.state.known || i.Service != service {
+		return i, pomelo.NewFault(pomelo.KindNoUpstream, "no upstream of service "+service+" is beside this node", "send the request to another upstream")
+	}
+	if i.Leaving || w.draining {
+		f := pomelo.NewFault(pomelo.KindDraining, "the upstream takes no new calls", "send the request to another upstream")
+		f.RetryAfter = drainReturn
+		return i, f
+	}
+	return i, nil
+}
+
+func (w *Worker) admit(c pomelo.Call) *pomelo.Fault {
+	if _, f := w.upstream(c.Service); f != nil {
+		return f
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.count++
+	w.running[c.ID] = c
+	return nil
+}
+
+func (w *Worker) release(c pomelo.Call) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.count--
+	delete(w.running, c.ID)
+}
+
+func (w *Worker) refused(c pomelo.Call, f *pomelo.Fault, arrived pomelo.Millis) pomelo.Answer {
+	w.metrics.Count("worker.refused."+string(f.Kind), 1)
+	w.log.Info("call_refused", "request", c.ID, "root", c.RootID, "service", c.Service, "kind", f.Kind, "reason", f.Message, "waited_ms", w.clock.Now()-arrived, "left_ms", c.Deadline-w.clock.Now(), "importance", c.Importance, "rank", c.Rank, "retry_after_ms", f.RetryAfter)
+	return pomelo.Refuse(c.ID, f)
+}
+
+func (w *Worker) failed(c pomelo.Call, a pomelo.Answer, arrived, took pomelo.Millis) pomelo.Answer {
+	f := a.Refusal
+	w.metrics.Count("worker.failed."+string(f.Kind), 1)
+	w.log.Info("call_failed", "request", c.ID, "root", c.RootID, "service", c.Service, "kind", f.Kind, "reason", f.Message, "ran", f.Ran, "took_ms", took, "waited_ms", w.clock.Now()-arrived-took)
+	return a
+}
