--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -76,6 +76,10 @@
 func (b *Beacon) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := b.step(ctx)
+		if pomelo.IsKind(err, pomelo.KindConflict) && b.revision != 0 {
+			// The record of the process before, which is to be replaced.
+			err = b.step(ctx)
+		}
 		if err != nil {
 			b.log.Warn("announce_failed", "lease", b.id, "error", err.Error())
 		}
--- a/call.go
+++ b/call.go
@@ -28,8 +28,8 @@
 	Host    string `cbor:"18,keyasint,omitempty"`
 	// Origin is the service beside the node where the request began.
 	Origin string `cbor:"19,keyasint,omitempty"`
-	// Rank is the importance of the call's client account, which goes before the route's.
-	Rank int `cbor:"20,keyasint,omitempty"`
+	// Share is the client account that the call is counted to under overload; sub-calls are counted to their root's.
+	Share string `cbor:"20,keyasint,omitempty"`
 	// Aim is the latency objective, in milliseconds.
 	Aim  Millis `cbor:"21,keyasint,omitempty"`
 	Body []byte `cbor:"-"`
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -26,8 +26,9 @@
 	dialect   pomelo.Dialect
 	knowledge pomelo.Knowledge
 	rates     pomelo.RateLimiter
+	entry     pomelo.Handler
 	next      pomelo.Handler
-	parent    func(id string) (pomelo.Call, bool)
+	parents   Parents
 	metrics   pomelo.Metrics
 	log       pomelo.Logger
 	service   string
@@ -35,19 +36,20 @@
 	split     split
 }
 
-// New returns an intake for the VM of this service; keyAge is how old, in milliseconds, knowledge of keys may be.
-func New(clock pomelo.Clock, dialect pomelo.Dialect, knowledge pomelo.Knowledge, rates pomelo.RateLimiter, next pomelo.Handler, metrics pomelo.Metrics, log pomelo.Logger, service string, keyAge pomelo.Millis, opts ...func(*Intake)) *Intake {
+// New returns an intake for the VM of this service that hands fresh requests to entry and sub-calls to next; keyAge is how old, in milliseconds, knowledge of keys may be.
+func New(clock pomelo.Clock, dialect pomelo.Dialect, knowledge pomelo.Knowledge, rates pomelo.RateLimiter, entry, next pomelo.Handler, parents Parents, metrics pomelo.Metrics, log pomelo.Logger, service string, keyAge pomelo.Millis, opts ...func(*Intake)) *Intake {
 	i := &Intake{
 		clock:     clock,
 		dialect:   dialect,
 		knowledge: knowledge,
 		rates:     rates,
+		entry:     entry,
 		next:      next,
+		parents:   parents,
 		metrics:   metrics,
 		log:       log,
 		service:   service,
 		keyAge:    keyAge,
-		parent:    func(string) (pomelo.Call, bool) { return pomelo.Call{}, false },
 		split:     split{credit: map[string][]int{}},
 	}
 	for _, o := range opts {
@@ -56,9 +58,10 @@
 	return i
 }
 
-// WithParents sets how the running call is found that a sub-call serves.
-func WithParents(f func(id string) (pomelo.Call, bool)) func(*Intake) {
-	return func(i *Intake) { i.parent = f }
+// Parents finds the running call that a sub-call serves, and takes note of what the sub-call met.
+type Parents interface {
+	Parent(id string) (pomelo.Call, bool)
+	Visited(id string, visits []pomelo.Visit)
 }
 
 // Handle answers one request.
@@ -82,7 +85,12 @@
 func (i *Intake) handle(ctx context.Context, c pomelo.Call) pomelo.Answer {
 	ctx, cancel := context.WithTimeout(ctx, (c.Deadline - i.clock.Now()).Duration())
 	defer cancel()
-	return i.next.Handle(ctx, c)
+	if c.Depth == 0 {
+		return i.entry.Handle(ctx, c)
+	}
+	a := i.next.Handle(ctx, c)
+	i.parents.Visited(c.Parent, a.Visits)
+	return a
 }
 
 // accept checks the request; an error is a *pomelo.Fault and nothing has been sent.
@@ -111,7 +119,7 @@
 func (i *Intake) describe(c pomelo.Call, q pomelo.Request, route pomelo.TrafficRoute, arrived pomelo.Millis) pomelo.Call {
 	c.RouteName = route.Name
 	c.Service = i.split.next(route)
-	c.Importance = route.Importance
+	c.Importance = pomelo.ImportanceOf(pomelo.MostImportant, route.Importance)
 	c.NonIdempotent = route.NonIdempotent
 	c.Retries = max(route.Attempts-1, 0)
 	c.Aim = route.Aim
@@ -135,14 +143,14 @@
 	if at < 0 {
 		return c
 	}
-	p, ok := i.parent(c.ID[:at])
+	p, ok := i.parents.Parent(c.ID[:at])
 	if !ok {
 		return c
 	}
 	c.Parent = p.ID
 	c.RootID = p.RootID
 	c.Depth = p.Depth + 1
-	c.Rank = p.Rank
+	c.Share = p.Share
 	c.Importance = p.Importance
 	return c
 }
@@ -166,7 +174,8 @@
 	}
 	c.Account = a.Name
 	c.KeyID = q.KeyID
-	c.Rank = a.Importance
+	c.Share = a.Name
+	c.Importance = pomelo.ImportanceOf(a.Importance, route.Importance)
 	return nil
 }
 
--- a/member.go
+++ b/member.go
@@ -11,6 +11,12 @@
 	Slots            int    `json:"slots,omitempty"`
 	Connections      int    `json:"connections,omitempty"`
 	Draining         bool   `json:"draining,omitempty"`
+	// UpstreamID, UpstreamAddress and UpstreamBorn let a node that restarts go on with the upstream that it knew.
+	UpstreamID      string `json:"upstream_id,omitempty"`
+	UpstreamAddress string `json:"upstream_address,omitempty"`
+	UpstreamBorn    Millis `json:"upstream_born_ms,omitempty"`
+	// Revision is that of the record's last write, as the store tells it.
+	Revision Revision `json:"-"`
 }
 
 // Upstream is what an upstream announces to the node beside it; Address is its loopback host and port.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -64,18 +65,43 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
+	n.parts.View.OnChange(sync.OnceFunc(n.resume))
+	go n.parts.Spool.Run(ctx)
 	go n.parts.View.Run(ctx)
 	go n.parts.Rates.Run(ctx)
 	go n.parts.Fence.Run(ctx)
 	go func() {
 		defer close(n.done)
-		n.parts.Beacon.Run(ctx)
+		// The record of the process before is read first, and replaced then.
+		select {
+		case <-n.parts.View.Listed():
+			n.parts.Beacon.Run(ctx)
+		case <-ctx.Done():
+		}
 	}()
 	s := n.settings
 	n.parts.Log.Info("node_started", "version", pomelo.Version(), "service", s.Service, "zone", s.AvailabilityZone, "callers", s.CallerAddress, "peers", s.PeerAddress, "first_start", s.FirstStart)
 	return nil
 }
 
+// resume takes the upstream over from the record of the process before this one.
+func (n *Node) resume() {
+	self := n.parts.Beacon.Member()
+	for _, m := range n.parts.View.Current() {
+		if m.VM != self.VM || m.Incarnation == self.Incarnation || m.Draining || m.UpstreamID == "" {
+			continue
+		}
+		n.parts.Worker.Resume(pomelo.Instance{
+			ID:      m.UpstreamID,
+			Service: m.Service,
+			Address: m.UpstreamAddress,
+			Zone:    m.AvailabilityZone,
+			Slots:   m.Slots,
+			Born:    m.UpstreamBorn,
+		})
+	}
+}
+
 func (n *Node) listen() error {
 	s := n.settings
 	if err := n.parts.Listen.Start(s.PeerAddress); err != nil {
@@ -149,6 +175,7 @@
 	}
 	n.close()
 	n.parts.Log.Info("node_stopped", "running", n.parts.Worker.Running(), "pending", n.parts.Inlet.Pending(), "took_ms", n.parts.Clock.Steady()-began)
+	n.parts.Spool.Flush()
 }
 
 func (n *Node) close() {
--- a/mesh/parts.go
+++ b/mesh/parts.go
@@ -20,6 +20,8 @@
 	"github.com/pomeloworks/pomelo/rates"
 	"github.com/pomeloworks/pomelo/ratio"
 	"github.com/pomeloworks/pomelo/send"
+	"github.com/pomeloworks/pomelo/shed"
+	"github.com/pomeloworks/pomelo/spool"
 	"github.com/pomeloworks/pomelo/tenure"
 	"github.com/pomeloworks/pomelo/uplink"
 	"github.com/pomeloworks/pomelo/usage"
@@ -47,6 +49,7 @@
 type parts struct {
 	fx.In
 	Clock    *clock.Clock
+	Spool    *spool.Spool
 	Log      pomelo.Logger
 	Metrics  *metric.Sink
 	Identity *ident.Identity
@@ -69,6 +72,7 @@
 		func() *metric.Sink { return metric.New() },
 		ident.New,
 		func() *wire.Codec { return wire.New(wire.WithLimits(headBytes, bodyBytes)) },
+		func(n *Node, c *clock.Clock) *spool.Spool { return spool.New(n.output, c) },
 		newLogger,
 		newBeacon,
 		newView,
@@ -86,8 +90,8 @@
 	)
 }
 
-func newLogger(n *Node, c *clock.Clock) pomelo.Logger {
-	return logs.New(n.output, logs.WithFields("vm", n.settings.VM), logs.WithClock(c))
+func newLogger(n *Node, c *clock.Clock, s *spool.Spool) pomelo.Logger {
+	return logs.New(s, logs.WithFields("vm", n.settings.VM), logs.WithClock(c))
 }
 
 func newBeacon(n *Node, c *clock.Clock, i *ident.Identity, log pomelo.Logger) *beacon.Beacon {
@@ -129,6 +133,9 @@
 		b.Describe(func(x *pomelo.Member) {
 			x.Service = i.Service
 			x.Slots = i.Slots
+			x.UpstreamID = i.ID
+			x.UpstreamAddress = i.Address
+			x.UpstreamBorn = i.Born
 			x.Draining = !serving || n.stopping.Load()
 		})
 	}
@@ -152,7 +159,8 @@
 }
 
 func newIntake(n *Node, c *clock.Clock, v *view.View, r *rates.Limiter, s *send.Sender, w *worker.Worker, m *metric.Sink, log pomelo.Logger) *intake.Intake {
-	return intake.New(c, n.host.Dialect, v, r, s, m, log, n.settings.Service, n.settings.KeyMaxAge, intake.WithParents(w.Parent))
+	entry := shed.New(c, s, m, shed.WithSeed(newSeed()))
+	return intake.New(c, n.host.Dialect, v, r, entry, s, w, m, log, n.settings.Service, n.settings.KeyMaxAge)
 }
 
 func newInlet(c *clock.Clock, i *intake.Intake, v *view.View, m *metric.Sink, log pomelo.Logger) *inlet.Server {
--- a/policy_spec.go
+++ b/policy_spec.go
@@ -23,7 +23,7 @@
 	Aim Millis
 	// Attempts is the most upstreams that one request may be sent to.
 	Attempts int
-	// Importance is higher for requests that are shed later.
+	// Importance is 0 to MostImportant, and higher for requests that are shed later.
 	Importance int
 }
 
@@ -33,7 +33,15 @@
 	Weight  int
 }
 
-// TrafficAccount is a client account with the ids of its keys, its importance, and its rate and burst over the fleet.
+// MostImportant is the highest importance of a route, and of a client account.
+const MostImportant = 2
+
+// ImportanceOf combines both, 0 to 8: the account's goes before the route's.
+func ImportanceOf(account, route int) int {
+	return (MostImportant+1)*account + route
+}
+
+// TrafficAccount is a client account with the ids of its keys, its importance as a route has it, and its rate and burst over the fleet.
 type TrafficAccount struct {
 	ClientAccount
 	KeyIDs     []string
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -7,6 +7,8 @@
 	"sync"
 
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/cutoff"
+	"github.com/pomeloworks/pomelo/rank"
 )
 
 const (
@@ -20,6 +22,10 @@
 	returnLeast = pomelo.Millis(100)
 	// returnMost bounds it where the queue's drain rate is not known yet.
 	returnMost = pomelo.Millis(2_000)
+	// crowdedShare is the share of arrivals that find a free slot, below which no cutoff is lowered.
+	crowdedShare = 0.2
+	// arrivalWeight is how much one arrival moves that share.
+	arrivalWeight = 0.05
 	// mostWaiting bounds the waiting calls by the slots.
 	mostWaiting = 8
 )
@@ -35,11 +41,21 @@
 	runs    map[string]float64
 	mean    float64
 	random  *rand.Rand
+	cutoff  *cutoff.Cutoff
+	// free is the share of arrivals that found a free slot lately.
+	free float64
 }
 
 // New returns a queue that runs nothing before Announce.
 func New(clock pomelo.Clock, seed uint64, opts ...func(*Queue)) *Queue {
-	q := &Queue{clock: clock, runs: map[string]float64{}, mean: firstRun, random: rand.New(rand.NewPCG(seed, seed))}
+	q := &Queue{
+		clock:  clock,
+		runs:   map[string]float64{},
+		mean:   firstRun,
+		random: rand.New(rand.NewPCG(seed, seed)),
+		cutoff: cutoff.New(),
+		free:   1,
+	}
 	for _, o := range opts {
 		o(q)
 	}
@@ -54,9 +70,12 @@
 	q.start()
 }
 
-// Threshold is always 0: the queue refuses by time and not by position.
-func (q *Queue) Threshold(string) float64 {
-	return 0
+// Threshold is the position in the order of shedding below which the account's calls are being refused here.
+func (q *Queue) Threshold(account string) float64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.cutoff.Advance(q.clock.Now(), q.free < crowdedShare)
+	return q.cutoff.Of(account)
 }
 
 // Enter waits for a slot; the error is a *pomelo.Fault of a call that did not run.
@@ -97,12 +116,18 @@
 		run:     q.expected(c.RouteName),
 		number:  q.numbers,
 		verdict: make(chan *pomelo.Fault, 1),
+		rank:    rank.Of(c),
 	}
+	q.cutoff.Advance(t.arrived, q.free < crowdedShare)
+	q.cutoff.Arrived(c.Share, t.rank.Importance)
+	q.free -= arrivalWeight * q.free
 	if q.running < q.slots && len(q.waiting) == 0 {
+		q.free += arrivalWeight
 		q.run(t)
 		return t, nil
 	}
 	if f := q.turnAway(t); f != nil {
+		q.cutoff.Refused(c.Share, t.rank.Importance)
 		return nil, f
 	}
 	at, _ := slices.BinarySearchFunc(q.waiting, t, compare)
@@ -147,7 +172,7 @@
 	for len(q.waiting) > max(1, mostWaiting*q.slots) {
 		last := q.waiting[len(q.waiting)-1]
 		q.waiting = q.waiting[:len(q.waiting)-1]
-		last.decide(q.refusal("more important calls wait"))
+		q.drop(last, "more important calls wait")
 	}
 }
 
@@ -158,15 +183,21 @@
 		t := q.waiting[0]
 		q.waiting = q.waiting[1:]
 		if now > t.latest() {
-			t.decide(q.refusal("the call waited too long to end in time"))
+			q.drop(t, "the call waited too long to end in time")
 			continue
 		}
 		q.run(t)
 	}
 }
 
+func (q *Queue) drop(t *ticket, message string) {
+	q.cutoff.Refused(t.call.Share, t.rank.Importance)
+	t.decide(q.refusal(message))
+}
+
 func (q *Queue) run(t *ticket) {
 	q.running++
+	q.cutoff.Served(t.rank.Importance)
 	t.entered = true
 	t.decide(nil)
 }
@@ -192,6 +223,7 @@
 	if ctx.Err() != nil {
 		return nil, pomelo.NewFault(pomelo.KindCanceled, "the caller gave the call up while it waited", "send it again if it is still wanted")
 	}
+	q.cutoff.Refused(t.call.Share, t.rank.Importance)
 	return nil, q.refusal("the call waited too long to end in time")
 }
 
--- a/queue/ticket.go
+++ b/queue/ticket.go
@@ -1,10 +1,14 @@
 package queue
 
-import "github.com/pomeloworks/pomelo"
+import (
+	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/rank"
+)
 
 // ticket is one call that waits; its channel takes the verdict once.
 type ticket struct {
 	call    pomelo.Call
+	rank    rank.Rank
 	arrived pomelo.Millis
 	run     pomelo.Millis
 	number  uint64
@@ -13,16 +17,16 @@
 	done    bool
 }
 
-// before orders calls: work that serves admitted requests, then the account's and the route's importance, then arrival.
+// before orders calls: work that serves admitted requests, then importance, then the order of the roots, which is the same at every service.
 func (t *ticket) before(o *ticket) bool {
 	if a, b := t.call.Depth > 0, o.call.Depth > 0; a != b {
 		return a
 	}
-	if t.call.Rank != o.call.Rank {
-		return t.call.Rank > o.call.Rank
+	if t.rank.Importance != o.rank.Importance {
+		return t.rank.Importance > o.rank.Importance
 	}
-	if t.call.Importance != o.call.Importance {
-		return t.call.Importance > o.call.Importance
+	if t.rank.Order != o.rank.Order {
+		return t.rank.Order > o.rank.Order
 	}
 	return t.number < o.number
 }
--- a/send/sender.go
+++ b/send/sender.go
@@ -65,7 +65,7 @@
 	var tried []string
 	ran := pomelo.RanNo
 	for {
-		c.Retries = p.lend()
+		c.Retries = s.lend(p)
 		a := s.attempt(ctx, m, c)
 		p.settle(a)
 		a = overall(a, ran)
@@ -103,6 +103,14 @@
 	return m, true
 }
 
+// lend passes no retries on to members that spend none for their sub-calls.
+func (s *Sender) lend(p *budget) int {
+	if s.placements > 0 {
+		return 0
+	}
+	return p.lend()
+}
+
 // isFree reports whether the call was refused before any upstream saw it.
 func (s *Sender) isFree(a pomelo.Answer) bool {
 	return s.placements > 0 && !a.Reached && a.Refusal.Ran == pomelo.RanNo
--- /dev/null
+++ b/spool/spool_test.go
@@ -0,0 +1,65 @@
+package spool_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/clock"
+	"github.com/pomeloworks/pomelo/spool"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const lines = 5_000
+
+func line(n int) string {
+	return fmt.Sprintf("ts=x level=info event=request_refused request=%d\n", n)
+}
+
+func TestSpool(t *testing.T) {
+	Convey("A reader that has stopped holds nobody up, and memory stays bounded", t, func() {
+		r, w := io.Pipe()
+		defer func() { _ = r.Close() }()
+		k := clock.New(clock.WithManual(1))
+		s := spool.New(w, k, spool.WithBounds(1_000, 1_000_000, 1_000_000))
+		go s.Flush()
+		for n := range lines {
+			got, err := s.Write([]byte(line(n)))
+			So(err, ShouldBeNil)
+			So(got, ShouldEqual, len(line(n)))
+		}
+	})
+
+	Convey("What is dropped is counted by event and said", t, func() {
+		var out bytes.Buffer
+		k := clock.New(clock.WithManual(pomelo.Millis(10_000)))
+		s := spool.New(&out, k, spool.WithBounds(1_000, 100, 200))
+		for n := range lines {
+			_, _ = s.Write([]byte(line(n)))
+		}
+		s.Flush()
+		kept := strings.Count(out.String(), "event=request_refused")
+		So(kept, ShouldBeGreaterThan, 0)
+		So(out.String(), ShouldContainSubstring, fmt.Sprintf("event=log_lines_dropped of=request_refused count=%d", lines-kept))
+	})
+
+	Convey("Lines within the bounds arrive whole and in order", t, func() {
+		var out bytes.Buffer
+		k := clock.New(clock.WithManual(1))
+		s := spool.New(&out, k)
+		var want strings.Builder
+		for n := range 100 {
+			_, _ = s.Write([]byte(line(n)))
+			want.WriteString(line(n))
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		s.Run(ctx)
+		s.Flush()
+		So(out.String(), ShouldEqual, want.String())
+	})
+}
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -1,6 +1,7 @@
 package tenure
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,6 +11,12 @@
 // trustFor is how old, in milliseconds, the knowledge of the members may be for a holder to act on it; a new holder waits as long.
 const trustFor = pomelo.Millis(3_000)
 
+// epochsMost bounds the lists that are kept; a right held through all of them counts from the oldest.
+const epochsMost = 16
+
+// never stands for a right that another member holds.
+const never = pomelo.Millis(-1 << 62)
+
 // Members is the store's list of members and the age of its last proof.
 type Members interface {
 	Current() []pomelo.Member
@@ -22,10 +29,21 @@
 	members Members
 	clock   pomelo.SteadyClock
 
-	mu    sync.Mutex
-	list  []pomelo.Member
-	since pomelo.Millis
-	held  map[string]pomelo.Millis
+	mu sync.Mutex
+	// epochs are the last lists, the newest last.
+	epochs []epoch
+	// held caches since when this node has held a right, for the newest list.
+	held map[string]pomelo.Millis
+	// stale is set while the list may have changed unseen.
+	stale bool
+	// fresh is when the list was last known to hold.
+	fresh pomelo.Millis
+}
+
+// epoch is a list of members and when it came into force here.
+type epoch struct {
+	list []pomelo.Member
+	at   pomelo.Millis
 }
 
 var _ pomelo.Tenure = (*Tenure)(nil)
@@ -41,28 +59,54 @@
 
 // Change takes in a new list of members; rights that stay with this node keep their time.
 func (t *Tenure) Change() {
-	list := live(t.members.Current())
-	self := t.members.Self().VM
+	list := t.members.Current()
+	self := t.members.Self()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if same(t.list, list) {
-		t.list = list
-		return
+	now := t.clock.Steady()
+	t.stale = t.stale || now-t.fresh > trustFor
+	switch {
+	case len(t.epochs) == 0:
+		t.epochs = []epoch{{list: list, at: begin(list, self, now)}}
+	case t.stale && !identical(t.list(), list):
+		// A right may have gone to another member and come back unseen.
+		t.epochs = []epoch{{list: list, at: now}}
+	case owners(t.list(), list):
+		t.epochs[len(t.epochs)-1].list = list
+	default:
+		t.epochs = append(t.epochs, epoch{list: list, at: now})
+	}
+	if len(t.epochs) > epochsMost {
+		t.epochs = t.epochs[1:]
 	}
-	t.list = list
-	t.since = t.clock.Steady()
-	for right := range t.held {
-		if m, ok := owner(list, right); !ok || m.VM != self {
-			delete(t.held, right)
+	clear(t.held)
+	t.stale = false
+	t.fresh = now
+}
+
+// begin is since when this node holds its rights at its first list; what the process before held on this VM goes on, if its record shows that nobody else can have held it since.
+func begin(list []pomelo.Member, self pomelo.Member, now pomelo.Millis) pomelo.Millis {
+	for _, m := range list {
+		if m.VM == self.VM && !m.Draining && m.Incarnation != self.Incarnation {
+			return now - trustFor
 		}
 	}
+	return now
+}
+
+// list is the newest one.
+func (t *Tenure) list() []pomelo.Member {
+	if len(t.epochs) == 0 {
+		return nil
+	}
+	return t.epochs[len(t.epochs)-1].list
 }
 
 // Owner is the member with the highest hash of its VM and the right.
 func (t *Tenure) Owner(right string) (pomelo.Member, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return owner(t.list, right)
+	return owner(t.list(), right)
 }
 
 // Holds reports whether this node may act on the right now.
@@ -89,26 +133,47 @@
 }
 
 func (t *Tenure) start(right string) (pomelo.Millis, bool) {
-	stale := t.members.MembersAge() > trustFor
+	age := t.members.MembersAge()
 	self := t.members.Self().VM
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if stale {
-		// Another member may have held any right meanwhile.
-		clear(t.held)
-		t.since = t.clock.Steady()
-		return 0, false
-	}
-	m, ok := owner(t.list, right)
-	if !ok || m.VM != self {
+	if age > trustFor {
+		t.stale = true
 		return 0, false
 	}
+	// Every change comes through Change before the list counts as proven again.
+	t.stale = false
+	t.fresh = t.clock.Steady()
 	since, ok := t.held[right]
 	if !ok {
-		since = t.since
+		since = t.sinceOf(right, self)
 		t.held[right] = since
 	}
-	return since, true
+	return since, since != never
+}
+
+// sinceOf goes back through the lists as long as they give the right to this node.
+func (t *Tenure) sinceOf(right, self string) pomelo.Millis {
+	since := never
+	for _, e := range slices.Backward(t.epochs) {
+		m, ok := owner(e.list, right)
+		if !ok || m.VM != self {
+			break
+		}
+		since = e.at
+	}
+	return since
+}
+
+// identical reports whether no record has been written or removed between the lists.
+func identical(a, b []pomelo.Member) bool {
+	return slices.EqualFunc(a, b, func(x, y pomelo.Member) bool { return x.VM == y.VM && x.Revision == y.Revision })
+}
+
+// owners reports whether the lists give every right to the same VM.
+func owners(a, b []pomelo.Member) bool {
+	same := func(x, y pomelo.Member) bool { return x.VM == y.VM }
+	return slices.EqualFunc(live(a), live(b), same)
 }
 
 func live(members []pomelo.Member) []pomelo.Member {
@@ -121,23 +186,13 @@
 	return out
 }
 
-// same compares by process, since a new process of a VM has forgotten what the one before granted.
-func same(a, b []pomelo.Member) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i].VM != b[i].VM {
-			return false
-		}
-	}
-	return true
-}
-
 func owner(list []pomelo.Member, right string) (pomelo.Member, bool) {
 	var best pomelo.Member
 	var most uint64
 	for _, m := range list {
+		if m.Draining {
+			continue
+		}
 		if h := xxhash.Sum64String(m.VM + " " + right); best.VM == "" || h > most {
 			best = m
 			most = h
--- a/view/view.go
+++ b/view/view.go
@@ -22,8 +22,10 @@
 	gatherFor = pomelo.Millis(100)
 	// lagLimit is how long a watch may lack a change that a read has shown before it is taken as silent.
 	lagLimit = pomelo.Millis(400)
-	// lingerFor is how long a member whose record lapsed is still tried; the platform brings lapsed ones back within 2 s.
-	lingerFor = pomelo.Millis(2_500)
+	// lingerFor is how long a member whose record lapsed is still tried: the store may turn a live one away for long, and calls tell a dead one soon.
+	lingerFor = pomelo.Millis(30_000)
+	// outage is how long without a proof is told as a loss of the store.
+	outage = pomelo.Millis(2_500)
 	// neverRead is the age before the first read.
 	neverRead = pomelo.Millis(1) << 40
 )
@@ -46,6 +48,8 @@
 	lagging  lag
 	restart  context.CancelFunc
 	notify   []func()
+	listed   chan struct{}
+	once     sync.Once
 }
 
 // lag is a revision that a read has shown and the watch has not reached, and when the read began.
@@ -70,6 +74,7 @@
 		parse:     parse,
 		self:      self,
 		members:   newMembers(),
+		listed:    make(chan struct{}),
 	}
 	for _, o := range opts {
 		o(v)
@@ -82,6 +87,11 @@
 	v.notify = append(v.notify, f)
 }
 
+// Listed is closed once the members have been read and OnChange's functions have been called for the first time.
+func (v *View) Listed() <-chan struct{} {
+	return v.listed
+}
+
 // Policy is the newest policy, false until one has been read.
 func (v *View) Policy() (pomelo.Policy, bool) {
 	v.mu.Lock()
@@ -143,7 +153,7 @@
 	if v.proven && start < v.provenAt {
 		return
 	}
-	if !v.proven || v.clock.Steady()-v.provenAt > lingerFor {
+	if !v.proven || v.clock.Steady()-v.provenAt > outage {
 		v.log.Info("store_regained", "revision", v.watched)
 	}
 	v.proven = true
@@ -194,13 +204,20 @@
 		return err
 	}
 	v.mu.Lock()
-	v.watched = l.Revision
 	changed := v.members.replace(decodeAll(l.Records, v.log), v.clock.Steady())
-	v.reached(l.Revision)
-	v.members.prove(start)
 	v.mu.Unlock()
 	v.log.Info("members_listed", "count", len(l.Records), "revision", l.Revision)
-	v.changed(changed)
+	first := false
+	v.once.Do(func() { first = true })
+	v.changed(changed || first)
+	if first {
+		close(v.listed)
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.watched = l.Revision
+	v.reached(l.Revision)
+	v.members.prove(start)
 	return nil
 }
 
@@ -242,10 +259,10 @@
 			changed = v.take(r, now) || changed
 		}
 	}
+	v.changed(changed)
 	v.mu.Lock()
+	defer v.mu.Unlock()
 	v.reached(l.Revision)
-	v.mu.Unlock()
-	v.changed(changed)
 }
 
 func (v *View) take(r pomelo.Record, now pomelo.Millis) bool {
@@ -304,5 +321,6 @@
 		log.Warn("member_unreadable", "key", r.Key, "revision", r.Revision)
 		return m, false
 	}
+	m.Revision = r.Revision
 	return m, true
 }
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -22,7 +22,7 @@
 
 	mu       sync.Mutex
 	state    state
-	running  map[string]pomelo.Call
+	running  map[string]*record
 	count    int
 	draining bool
 }
@@ -36,7 +36,7 @@
 		metrics: metrics,
 		log:     log,
 		changed: changed,
-		running: map[string]pomelo.Call{},
+		running: map[string]*record{},
 	}
 	for _, o := range opts {
 		o(w)
@@ -64,6 +64,20 @@
 	w.changed(i, !i.Leaving)
 }
 
+// Resume goes on with the upstream that the process before this one knew, until a heartbeat says otherwise.
+func (w *Worker) Resume(i pomelo.Instance) {
+	w.mu.Lock()
+	if w.state.known {
+		w.mu.Unlock()
+		return
+	}
+	w.state = state{instance: i, known: true, heard: w.clock.Now()}
+	w.mu.Unlock()
+	w.log.Info("upstream_resumed", "upstream", i.ID, "service", i.Service, "born", i.Born, "slots", i.Slots)
+	w.gate.Announce(i.Slots, 0)
+	w.changed(i, true)
+}
+
 // Withdraw takes a deregistration; born is 0 where the upstream does not say which start it is of.
 func (w *Worker) Withdraw(id string, born pomelo.Millis) {
 	w.mu.Lock()
@@ -112,8 +126,20 @@
 func (w *Worker) Parent(id string) (pomelo.Call, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	c, ok := w.running[id]
-	return c, ok
+	r, ok := w.running[id]
+	if !ok {
+		return pomelo.Call{}, false
+	}
+	return r.call, true
+}
+
+// Visited notes what a sub-call of the running call met.
+func (w *Worker) Visited(id string, visits []pomelo.Visit) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if r, ok := w.running[id]; ok {
+		r.visit(visits)
+	}
 }
 
 // Handle runs one call; its refusals are final, and it spends no retries.
@@ -131,7 +157,13 @@
 	if f := w.admit(c); f != nil {
 		return pomelo.Refuse(c.ID, f)
 	}
-	defer w.release(c)
+	a := w.enter(ctx, c, arrived)
+	own := pomelo.Visit{Service: c.Service, Calls: 1, Threshold: w.gate.Threshold(c.Share)}
+	a.Visits = append(w.release(c), own)
+	return a
+}
+
+func (w *Worker) enter(ctx context.Context, c pomelo.Call, arrived pomelo.Millis) pomelo.Answer {
 	pass, err := w.gate.Enter(ctx, c)
 	if err != nil {
 		return w.refused(c, pomelo.FaultOf(err), arrived)
@@ -182,20 +214,23 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.count++
-	w.running[c.ID] = c
+	w.running[c.ID] = &record{call: c}
 	return nil
 }
 
-func (w *Worker) release(c pomelo.Call) {
+// release ends the call's record and returns what its sub-calls met.
+func (w *Worker) release(c pomelo.Call) []pomelo.Visit {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.count--
+	r := w.running[c.ID]
 	delete(w.running, c.ID)
+	return r.visits
 }
 
 func (w *Worker) refused(c pomelo.Call, f *pomelo.Fault, arrived pomelo.Millis) pomelo.Answer {
 	w.metrics.Count("worker.refused."+string(f.Kind), 1)
-	w.log.Info("call_refused", "request", c.ID, "root", c.RootID, "service", c.Service, "kind", f.Kind, "reason", f.Message, "waited_ms", w.clock.Now()-arrived, "left_ms", c.Deadline-w.clock.Now(), "importance", c.Importance, "rank", c.Rank, "retry_after_ms", f.RetryAfter)
+	w.log.Info("call_refused", "request", c.ID, "root", c.RootID, "service", c.Service, "kind", f.Kind, "reason", f.Message, "waited_ms", w.clock.Now()-arrived, "left_ms", c.Deadline-w.clock.Now(), "importance", c.Importance, "share", c.Share, "retry_after_ms", f.RetryAfter)
 	return pomelo.Refuse(c.ID, f)
 }
 
