Place calls by reported load, speed, failures and bytes over zone borders

Cause: the chooser compared mean times of unlike calls and saw only its own outstanding ones; 60 kB commands crossed zones for a millisecond.

--- a/call.go
+++ b/call.go
@@ -55,8 +55,10 @@
 	Visits      []Visit     `cbor:"7,keyasint,omitempty"`
 	Own         Millis      `cbor:"8,keyasint,omitempty"`
 	// Reached marks a refused call that was sent to the upstream.
-	Reached bool   `cbor:"9,keyasint,omitempty"`
-	Body    []byte `cbor:"-"`
+	Reached bool `cbor:"9,keyasint,omitempty"`
+	// Load is the calls that run and wait at the serving node, by the upstream's slots.
+	Load float64 `cbor:"10,keyasint,omitempty"`
+	Body []byte  `cbor:"-"`
 }
 
 // Refuse returns the answer that refuses call id with f.
--- a/control.go
+++ b/control.go
@@ -24,7 +24,7 @@
 	Pick(c Call, members []Member, tried []string) (Member, bool)
 	// Sent and Done bracket each call so that outstanding work is known and answers are learned from; took is in milliseconds.
 	Sent(m Member)
-	Done(m Member, took Millis, a Answer)
+	Done(m Member, c Call, took Millis, a Answer)
 }
 
 // RetryLimiter bounds the retries to each service by what it is called; Retry counts the retry that it allows.
--- a/mesh/parts.go
+++ b/mesh/parts.go
@@ -15,7 +15,7 @@
 	"github.com/pomeloworks/pomelo/listen"
 	"github.com/pomeloworks/pomelo/logs"
 	"github.com/pomeloworks/pomelo/metric"
-	"github.com/pomeloworks/pomelo/pick"
+	"github.com/pomeloworks/pomelo/place"
 	"github.com/pomeloworks/pomelo/queue"
 	"github.com/pomeloworks/pomelo/rates"
 	"github.com/pomeloworks/pomelo/ratio"
@@ -153,7 +153,7 @@
 }
 
 func newSender(n *Node, c *clock.Clock, v *view.View, d *dialer.Pool, w *worker.Worker, m *metric.Sink) *send.Sender {
-	p := pick.New(c, newSeed(), pick.WithAvailabilityZone(n.settings.AvailabilityZone))
+	p := place.New(c, n.settings.AvailabilityZone, newSeed())
 	r := ratio.New(c, ratio.WithShare(retryPart*n.settings.RetryShare, retryFloor))
 	return send.New(c, v, p, d, w, m, send.WithRetryLimiter(r), send.WithPlacements(placements))
 }
--- a/pick/picker.go
+++ b/pick/picker.go
@@ -76,7 +76,7 @@
 }
 
 // Done ends what Sent began and learns from the answer, which took so many milliseconds.
-func (p *Picker) Done(m pomelo.Member, took pomelo.Millis, a pomelo.Answer) {
+func (p *Picker) Done(m pomelo.Member, _ pomelo.Call, took pomelo.Millis, a pomelo.Answer) {
 	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pick/picker_test.go
+++ b/pick/picker_test.go
@@ -26,7 +26,7 @@
 		m, _ := p.Pick(pomelo.Call{}, members(), nil)
 		p.Sent(m)
 		c.Advance(1)
-		p.Done(m, times[m.VM], pomelo.Answer{})
+		p.Done(m, pomelo.Call{}, times[m.VM], pomelo.Answer{})
 		if m.VM == vm {
 			n++
 		}
@@ -37,7 +37,7 @@
 // tell has one member answer once.
 func tell(p *pick.Picker, m pomelo.Member, a pomelo.Answer) {
 	p.Sent(m)
-	p.Done(m, 5, a)
+	p.Done(m, pomelo.Call{}, 5, a)
 }
 
 func refused(kind pomelo.Kind, ran pomelo.Ran) pomelo.Answer {
--- a/send/sender.go
+++ b/send/sender.go
@@ -131,7 +131,7 @@
 	defer cancel()
 	s.picker.Sent(m)
 	a := s.carry(ctx, m, c)
-	s.picker.Done(m, s.clock.Now()-now, a)
+	s.picker.Done(m, c, s.clock.Now()-now, a)
 	return a
 }
 
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -68,8 +68,8 @@
 	switch {
 	case len(t.epochs) == 0:
 		t.epochs = []epoch{{list: list, at: begin(list, self, now)}}
-	case t.stale && !identical(t.list(), list):
-		// A right may have gone to another member and come back unseen.
+	case t.stale && lapsed(t.list(), list, self.VM):
+		// This node's rights may have gone to others and come back unseen.
 		t.epochs = []epoch{{list: list, at: now}}
 	case owners(t.list(), list):
 		t.epochs[len(t.epochs)-1].list = list
@@ -165,9 +165,12 @@
 	return since
 }
 
-// identical reports whether no record has been written or removed between the lists.
-func identical(a, b []pomelo.Member) bool {
-	return slices.EqualFunc(a, b, func(x, y pomelo.Member) bool { return x.VM == y.VM && x.Revision == y.Revision })
+// lapsed reports whether the VM's record in the second list is not the one in the first.
+func lapsed(a, b []pomelo.Member, vm string) bool {
+	of := func(m pomelo.Member) bool { return m.VM == vm }
+	i := slices.IndexFunc(a, of)
+	j := slices.IndexFunc(b, of)
+	return i < 0 || j < 0 || a[i].Revision != b[j].Revision
 }
 
 // owners reports whether the lists give every right to the same VM.
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -160,6 +160,7 @@
 	a := w.enter(ctx, c, arrived)
 	own := pomelo.Visit{Service: c.Service, Calls: 1, Threshold: w.gate.Threshold(c.Share)}
 	a.Visits = append(w.release(c), own)
+	a.Load = w.load()
 	return a
 }
 
@@ -218,6 +219,13 @@
 	return nil
 }
 
+// load is the calls that run and wait by the upstream's slots.
+func (w *Worker) load() float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return float64(w.count) / float64(max(w.state.instance.Slots, 1))
+}
+
 // release ends the call's record and returns what its sub-calls met.
 func (w *Worker) release(c pomelo.Call) []pomelo.Visit {
 	w.mu.Lock()
