--- a/mesh/node.go
+++ b/mesh/node.go
@@ -178,6 +178,12 @@
 	n.parts.Spool.Flush()
 }
 
+// Kill ends the node at once, as the end of its process does.
+func (n *Node) Kill() {
+	n.parts.Inlet.Close()
+	n.close()
+}
+
 func (n *Node) close() {
 	n.cancel()
 	<-n.done
--- /dev/null
+++ b/mesh/path_test.go
@@ -0,0 +1,264 @@
+package mesh_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/mesh"
+	"github.com/pomeloworks/pomelo/metric"
+	"github.com/pomeloworks/pomelo/platform"
+	"github.com/pomeloworks/pomelo/platform/fake"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const (
+	key        = "6wsjnbanfqasnmgkcuyj"
+	patience   = 10 * time.Second
+	policyText = `{"version":"r%d","routes":{
+"a":{"host":"shop.example","path_prefix":"/a/","route_type":"idempotent","timeout_ms":3000,"target_latency_ms":500,"priority":1,"service":"shop","attempts":2,"public":false},
+"b":{"host":"shop.example","path_prefix":"/b/","route_type":"non_idempotent","timeout_ms":3000,"target_latency_ms":500,"priority":0,"service":"shop","attempts":2,"public":true}},
+"services":{"shop":{"health_path":"/health","max_connections":400,"protocol":"h1","tls":false}},
+"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":{"acme":{"api_keys":["%s"],"priority":1,"rate_per_s":100000,"burst":100000}}}`
+)
+
+// fleet is a store stand-in and some nodes with their upstreams on loopback.
+type fleet struct {
+	t     testing.TB
+	store *fake.Server
+	nodes []*member
+}
+
+type member struct {
+	node     *mesh.Node
+	settings pomelo.HostSettings
+	upstream *upstream
+	log      *bytes.Buffer
+}
+
+// upstream is a stand-in that echoes ids and says who asked.
+type upstream struct {
+	id     string
+	server *httptest.Server
+	runs   atomic.Int64
+}
+
+func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	if r.Header.Get("Expected-Instance") != u.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	u.runs.Add(1)
+	body, _ := io.ReadAll(r.Body)
+	w.Header().Set("Server-Seal", "sealed")
+	fmt.Fprintf(w, "%s %s account=%s origin=%s key=%s body=%d", r.Method, r.URL.Path, r.Header.Get("Tenant"), r.Header.Get("Caller-Service"), r.Header.Get("Authorization"), len(body))
+}
+
+func newFleet(t testing.TB, n int) *fleet {
+	f := &fleet{t: t, store: fake.New()}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go f.store.Run(ctx)
+	f.store.Put(platform.KeyPolicy, fmt.Appendf(nil, policyText, 1, key))
+	for i := range n {
+		f.add(i)
+	}
+	return f
+}
+
+func freeAddress(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func (f *fleet) add(i int) {
+	u := &upstream{id: "i-" + strconv.Itoa(i)}
+	u.server = httptest.NewServer(u)
+	f.t.Cleanup(u.server.Close)
+	s := httptest.NewServer(f.store.Handler(strconv.Itoa(i)))
+	f.t.Cleanup(s.Close)
+	settings := pomelo.HostSettings{
+		VM:               "vm-" + strconv.Itoa(i),
+		IP:               "127.0.0.1",
+		AvailabilityZone: "z",
+		Service:          "shop",
+		UpstreamAddress:  u.server.Listener.Addr().String(),
+		CallerAddress:    freeAddress(f.t),
+		ReadyAddress:     freeAddress(f.t),
+		ControlAddress:   freeAddress(f.t),
+		PeerAddress:      freeAddress(f.t),
+		StoreURL:         s.URL,
+		KeyMaxAge:        5_000,
+		DrainGrace:       6_000,
+		RetryShare:       0.2,
+		RetryWindow:      10_000,
+	}
+	host := mesh.Host{
+		Store:       platform.NewStore(settings.StoreURL, metric.New()),
+		Dialect:     platform.NewDialect(),
+		PolicyKey:   platform.KeyPolicy,
+		ParsePolicy: platform.ParsePolicy,
+		Control:     func(a mesh.Upstreams, log pomelo.Logger) http.Handler { return platform.Control(a, log) },
+		Ready:       platform.Ready,
+	}
+	m := &member{settings: settings, upstream: u, log: &bytes.Buffer{}}
+	n, err := mesh.New(settings, host, mesh.WithOutput(io.Discard))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := n.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	m.node = n
+	f.nodes = append(f.nodes, m)
+	f.t.Cleanup(n.Kill)
+}
+
+func (m *member) beat(state string, seq int) int {
+	body := fmt.Sprintf(`{"address":%q,"info":{"service":"shop","version":"v1","zone":"z","slots":50},"status":{"state":%q,"seq":%d,"warmup_left_ms":0},"born":1}`, m.settings.UpstreamAddress, state, seq)
+	resp, err := http.Post("http://"+m.settings.ControlAddress+"/instances/"+m.upstream.id+"/heartbeat", "application/json", strings.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+func (m *member) ask(method, path, id string, body string) (int, string) {
+	r, _ := http.NewRequest(method, "http://"+m.settings.CallerAddress+path, strings.NewReader(body))
+	r.Host = "shop.example"
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Deadline-Ms", "2000")
+	r.Header.Set("Authorization", "Bearer "+key)
+	r.Header.Set("Tenant", "forged")
+	r.Header.Set("Caller-Service", "forged")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(b)
+}
+
+// until waits for a condition that the fleet reaches by itself.
+func until(done func() bool) bool {
+	end := time.Now().Add(patience)
+	for time.Now().Before(end) {
+		if done() {
+			return true
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return false
+}
+
+func (f *fleet) settle() {
+	seq := 0
+	ok := until(func() bool {
+		seq++
+		for i, m := range f.nodes {
+			if m.beat("ready", seq) != http.StatusOK {
+				return false
+			}
+			if s, _ := m.ask("GET", "/a/x", fmt.Sprintf("settle-%d-%d", i, seq), ""); s != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+	So(ok, ShouldBeTrue)
+}
+
+func TestPath(t *testing.T) {
+	Convey("A fleet of three nodes", t, func() {
+		f := newFleet(t, 3)
+		f.settle()
+		a := f.nodes[0]
+
+		Convey("runs a request with the account of its key, without the key, and with the true origin", func() {
+			status, body := a.ask("GET", "/a/x", "r1", "")
+			So(status, ShouldEqual, http.StatusOK)
+			So(body, ShouldEqual, "GET /a/x account=acme origin=shop key= body=0")
+		})
+		Convey("answers what no route matches with 404, and an unknown key with 401", func() {
+			status, _ := a.ask("GET", "/c/x", "r2", "")
+			So(status, ShouldEqual, http.StatusNotFound)
+			f.store.Put(platform.KeyPolicy, fmt.Appendf(nil, policyText, 2, "other"))
+			So(until(func() bool { s, _ := a.ask("GET", "/a/x", "r3", ""); return s == http.StatusUnauthorized }), ShouldBeTrue)
+		})
+		Convey("never goes back to an older policy", func() {
+			f.store.Put(platform.KeyPolicy, fmt.Appendf(nil, policyText, 9, "other"))
+			So(until(func() bool { s, _ := a.ask("GET", "/a/x", "r4", ""); return s == http.StatusUnauthorized }), ShouldBeTrue)
+			f.store.Put(platform.KeyPolicy, fmt.Appendf(nil, policyText, 8, key))
+			f.store.Put(platform.KeyPolicy, []byte("{"))
+			time.Sleep(300 * time.Millisecond)
+			s, _ := a.ask("GET", "/a/x", "r5", "")
+			So(s, ShouldEqual, http.StatusUnauthorized)
+		})
+		Convey("stops sending to an upstream that says that it leaves", func() {
+			So(a.beat("draining", 1_000_000), ShouldEqual, http.StatusOK)
+			before := a.upstream.runs.Load()
+			for i := range 20 {
+				s, _ := f.nodes[i%3].ask("POST", "/b/x", fmt.Sprintf("d%d", i), "order")
+				So(s, ShouldEqual, http.StatusOK)
+			}
+			So(a.upstream.runs.Load(), ShouldEqual, before)
+			So(a.beat("ready", 5), ShouldEqual, http.StatusOK)
+			time.Sleep(100 * time.Millisecond)
+			_, _ = a.ask("GET", "/a/x", "d-late", "")
+			So(a.upstream.runs.Load(), ShouldEqual, before)
+		})
+		Convey("answers pipelined requests in their order", func() {
+			c, err := net.Dial("tcp", a.settings.CallerAddress)
+			So(err, ShouldBeNil)
+			defer func() { _ = c.Close() }()
+			var b strings.Builder
+			for i := range 5 {
+				fmt.Fprintf(&b, "GET /a/%d HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: p%d\r\nDeadline-Ms: 2000\r\nAuthorization: Bearer %s\r\n\r\n", i, i, key)
+			}
+			_, err = io.WriteString(c, b.String())
+			So(err, ShouldBeNil)
+			r := bufio.NewReader(c)
+			for i := range 5 {
+				resp, err := http.ReadResponse(r, nil)
+				So(err, ShouldBeNil)
+				So(resp.Header.Get("Request-Id"), ShouldEqual, fmt.Sprintf("p%d", i))
+				_, _ = io.Copy(io.Discard, resp.Body)
+			}
+		})
+	})
+}
+
+// BenchmarkPath measures a call through two nodes.
+func BenchmarkPath(b *testing.B) {
+	Convey("a settled fleet", b, func() {
+		f := newFleet(b, 2)
+		f.settle()
+		So(f.nodes[1].beat("draining", 1_000_000), ShouldEqual, http.StatusOK)
+		time.Sleep(300 * time.Millisecond)
+		b.ResetTimer()
+		for i := range b.N {
+			if s, t := f.nodes[1].ask("GET", "/a/x", strconv.Itoa(i), ""); s != http.StatusOK {
+				b.Fatal(s, t)
+			}
+		}
+	})
+}
--- a/store_contract_test.go
+++ b/store_contract_test.go
@@ -12,6 +12,9 @@
 	"github.com/pomeloworks/pomelo"
 	"github.com/pomeloworks/pomelo/fakekv"
 	"github.com/pomeloworks/pomelo/kvhttp"
+	"github.com/pomeloworks/pomelo/metric"
+	"github.com/pomeloworks/pomelo/platform"
+	"github.com/pomeloworks/pomelo/platform/fake"
 	"github.com/smartystreets/goconvey/convey"
 )
 
@@ -28,6 +31,7 @@
 	open func(t *testing.T) pomelo.Store
 }{
 	{"kvhttp over fakekv", openFake},
+	{"platform over its stand-in", openPlatform},
 }
 
 var storeChecks = []struct {
@@ -56,6 +60,16 @@
 	return kvhttp.New(h.URL, kvhttp.WithTimeout(contractWait))
 }
 
+func openPlatform(t *testing.T) pomelo.Store {
+	s := fake.New(fake.WithHistory(contractHistory), fake.WithPages(3), fake.WithRevision(0))
+	ctx, cancel := context.WithCancel(context.Background())
+	go s.Run(ctx)
+	h := httptest.NewServer(s.Handler("a"))
+	t.Cleanup(h.Close)
+	t.Cleanup(cancel)
+	return platform.NewStore(h.URL, metric.New(), platform.WithTimeout(contractWait))
+}
+
 func TestStoreContract(t *testing.T) {
 	for _, a := range storeAdapters {
 		for _, c := range storeChecks {
