--- a/control.go
+++ b/control.go
@@ -30,7 +30,8 @@
 // RetryLimiter bounds the retries to each service by what it is called; Retry counts the retry that it allows.
 type RetryLimiter interface {
 	Call(service string)
-	Retry(service string) bool
+	// The less important a call is, the sooner it finds the budget spent.
+	Retry(service string, importance int) bool
 }
 
 // RateLimiter admits a client account's requests over the whole fleet; the error is a *Fault of KindRateExceeded.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -22,6 +22,8 @@
 	// exitMargin is kept of the grace time for the end of the process.
 	exitMargin = pomelo.Millis(700)
 	stopPoll   = pomelo.Millis(20)
+	// loadEvery is the pause between two lines on waiting calls.
+	loadEvery = pomelo.Millis(1_000)
 )
 
 // Node is the one process beside an upstream on the users' platform.
@@ -67,6 +69,7 @@
 	n.cancel = cancel
 	n.parts.View.OnChange(sync.OnceFunc(n.resume))
 	go n.parts.Spool.Run(ctx)
+	go n.watchLoad(ctx)
 	go n.parts.View.Run(ctx)
 	go n.parts.Rates.Run(ctx)
 	go n.parts.Fence.Run(ctx)
@@ -194,6 +197,16 @@
 	n.parts.Listen.Close()
 }
 
+// watchLoad writes a line each second in which calls had to wait.
+func (n *Node) watchLoad(ctx context.Context) {
+	for n.parts.Clock.Sleep(ctx, loadEvery) == nil {
+		running, waiting, slots := n.parts.Queue.Load()
+		if waiting > 0 {
+			n.parts.Log.Info("calls_waiting", "running", running, "waiting", waiting, "slots", slots, "threshold", n.parts.Queue.Threshold(""))
+		}
+	}
+}
+
 func (n *Node) metricsHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		n.parts.Usage.Sample(n.parts.Metrics)
--- a/mesh/parts.go
+++ b/mesh/parts.go
@@ -33,9 +33,11 @@
 
 const (
 	// retryPart of the platform's share is spent, since sub-calls of repeated calls count as well.
-	retryPart = 0.5
+	retryPart = 0.8
 	// retryFloor is how many retries in ten seconds a node may send to a service that it hardly calls.
-	retryFloor = 1
+	retryFloor = 2
+	// retryReserve of the share is kept for the most important calls.
+	retryReserve = 0.6
 	// placements bounds the members that are asked for one call while none has sent it to an upstream.
 	placements = 4
 	// dialTimeout is for a peer within a region: some ten round trips, in milliseconds.
@@ -109,8 +111,8 @@
 	return beacon.New(n.host.Store, c, log, m)
 }
 
-func newView(n *Node, c boot, b *beacon.Beacon, log pomelo.Logger) *view.View {
-	return view.New(n.host.Store, c, log, n.host.PolicyKey, n.host.ParsePolicy, b.Member)
+func newView(n *Node, c boot, b *beacon.Beacon, d *dialer.Pool, m *metric.Sink, log pomelo.Logger) *view.View {
+	return view.New(n.host.Store, c, log, n.host.PolicyKey, n.host.ParsePolicy, b.Member, view.WithPeers(d, m))
 }
 
 func newTenure(v *view.View, c boot) *tenure.Tenure {
@@ -153,12 +155,13 @@
 func newListen(i *ident.Identity, w *wire.Codec, v *view.View, f *fence.Table, r *rates.Limiter, log pomelo.Logger) *listen.Server {
 	s := listen.New(i, w, v, f, log, listen.WithFencer(f))
 	s.Respond(pomelo.MessageGrant, r.Answer)
+	s.Respond(pomelo.MessageGossip, v.Answer)
 	return s
 }
 
 func newSender(n *Node, c *clock.Clock, v *view.View, d *dialer.Pool, w *worker.Worker, m *metric.Sink) *send.Sender {
 	p := place.New(c, n.settings.AvailabilityZone, newSeed())
-	r := ratio.New(c, ratio.WithShare(retryPart*n.settings.RetryShare, retryFloor))
+	r := ratio.New(c, ratio.WithShare(retryPart*n.settings.RetryShare, retryFloor), ratio.WithReserve(retryReserve))
 	return send.New(c, v, p, d, w, m, send.WithRetryLimiter(r), send.WithPlacements(placements))
 }
 
--- a/place/placer.go
+++ b/place/placer.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// crossing is the time to another availability zone and back, in milliseconds.
-	crossing = 2.0
+	// crossing is what a call to another availability zone has to save, in milliseconds: the way there and back, and about a kilobyte of heads each way on links that are scarce.
+	crossing = 30.0
 	// crossingPerKB is what a kilobyte over the border of a zone has to save, in milliseconds: transfers between zones are scarce.
 	crossingPerKB = 5.0
 	// assumedAnswer is taken for the answer's size, in kilobytes, before any has come.
--- a/rates/limiter.go
+++ b/rates/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 
 	"github.com/pomeloworks/pomelo"
@@ -24,6 +25,8 @@
 	returnEach  = pomelo.Millis(40)
 	noHomeAfter = pomelo.Millis(1_000)
 	idleFor     = pomelo.Millis(60_000)
+	// returnSpread is the time over which refused requests come back, about that in which a full bucket is earned again.
+	returnSpread = pomelo.Millis(800)
 )
 
 // Limiter implements pomelo.RateLimiter.
@@ -169,6 +172,7 @@
 	}
 	l.metrics.Count("rates.refused", 1)
 	f := pomelo.NewFault(pomelo.KindRateExceeded, "the client account is over its rate", "send fewer requests, or come back after the given time")
-	f.RetryAfter = a.pool.Wait(l.clock.Now())
+	// Callers that are refused together must not come back together.
+	f.RetryAfter = a.pool.Wait(l.clock.Now()) + pomelo.Millis(rand.Float64()*float64(returnSpread))
 	return f
 }
--- a/ratio/ratio.go
+++ b/ratio/ratio.go
@@ -12,6 +12,8 @@
 	defaultFloor = 10
 	bucketLength = pomelo.Millis(1_000)
 	buckets      = 10
+	// mostImportant is the importance from which on the whole share may be used.
+	mostImportant = 8
 )
 
 // Ratio counts calls and retries by service over the last ten seconds.
@@ -19,6 +21,7 @@
 	clock    pomelo.Clock
 	share    float64
 	floor    int
+	reserve  float64
 	mu       sync.Mutex
 	services map[string]*window
 }
@@ -47,18 +50,24 @@
 	r.window(service).add(1, 0)
 }
 
-// Retry counts one more attempt and reports true, or reports false when the service has had its share of retries.
-func (r *Ratio) Retry(service string) bool {
+// Retry counts one more attempt and reports true, or reports false when the service has had its share of retries; part of the share is kept for important calls.
+func (r *Ratio) Retry(service string, importance int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.window(service)
-	if float64(w.retries) >= float64(r.floor)+r.share*float64(w.calls) {
+	open := 1 - r.reserve*(1-float64(min(max(importance, 0), mostImportant))/mostImportant)
+	if float64(w.retries) >= open*(float64(r.floor)+r.share*float64(w.calls)) {
 		return false
 	}
 	w.add(0, 1)
 	return true
 }
 
+// WithReserve keeps a part of the share, 0 to 1, for calls of higher importance.
+func WithReserve(part float64) func(*Ratio) {
+	return func(r *Ratio) { r.reserve = part }
+}
+
 func (r *Ratio) window(service string) *window {
 	w := r.services[service]
 	if w == nil {
--- a/ratio/ratio_test.go
+++ b/ratio/ratio_test.go
@@ -11,7 +11,7 @@
 func retries(r *ratio.Ratio, tries int) int {
 	n := 0
 	for range tries {
-		if r.Retry("shop") {
+		if r.Retry("shop", 0) {
 			n++
 		}
 	}
@@ -24,7 +24,7 @@
 		r := ratio.New(c, ratio.WithShare(0.1, 2))
 		convey.Convey("Without calls only the floor is retried", func() {
 			convey.So(retries(r, 100), convey.ShouldEqual, 2)
-			convey.So(r.Retry("history"), convey.ShouldBeTrue)
+			convey.So(r.Retry("history", 0), convey.ShouldBeTrue)
 		})
 		convey.Convey("Calls add their share, whatever the order", func() {
 			for range 200 {
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -9,7 +9,7 @@
 )
 
 // trustFor is how old, in milliseconds, the knowledge of the members may be for a holder to act on it; a new holder waits as long.
-const trustFor = pomelo.Millis(3_000)
+const trustFor = pomelo.Millis(2_000)
 
 // epochsMost bounds the lists that are kept; a right held through all of them counts from the oldest.
 const epochsMost = 16
--- a/view/view.go
+++ b/view/view.go
@@ -13,14 +13,14 @@
 
 // Times in milliseconds.
 const (
-	// readEvery keeps the age of keys well below the shortest bound on withdrawn keys, 5 s.
-	readEvery = pomelo.Millis(1_200)
+	// readEvery keeps proofs that come over one peer younger than what rights need, 2 s.
+	readEvery = pomelo.Millis(700)
 	// retryAfter is the pause after a failed call of the store.
 	retryAfter = pomelo.Millis(250)
 	// watchWait is below the longest wait that the store allows, 30 s.
 	watchWait = pomelo.Millis(25_000)
 	// gatherFor lets changes that come together arrive in one watch.
-	gatherFor = pomelo.Millis(100)
+	gatherFor = pomelo.Millis(200)
 	// lagLimit is how long a watch may lack a change that a read has shown before it is taken as silent.
 	lagLimit = pomelo.Millis(400)
 	// lingerFor is how long a member whose record lapsed is still tried: the store may turn a live one away for long, and calls tell a dead one soon.
@@ -50,6 +50,10 @@
 	restart  context.CancelFunc
 	notify   []func()
 	roll     atomic.Pointer[roll]
+	peers    pomelo.Peers
+	metrics  pomelo.Metrics
+	// turn belongs to Run.
+	turn int
 	listed   chan struct{}
 	once     sync.Once
 }
@@ -85,6 +89,14 @@
 	return v
 }
 
+// WithPeers spares most members their reads of the store: they ask peers instead.
+func WithPeers(p pomelo.Peers, m pomelo.Metrics) func(*View) {
+	return func(v *View) {
+		v.peers = p
+		v.metrics = m
+	}
+}
+
 // OnChange has f called after each change of the members; it must be set before Run.
 func (v *View) OnChange(f func()) {
 	v.notify = append(v.notify, f)
@@ -127,6 +139,10 @@
 	go v.follow(ctx)
 	for ctx.Err() == nil {
 		pause := readEvery
+		if v.relayed(ctx) {
+			_ = v.clock.Sleep(ctx, pause)
+			continue
+		}
 		if err := v.read(ctx); err != nil {
 			v.log.Warn("store_read_failed", "age_ms", v.Age(), "error", err.Error())
 			pause = retryAfter
