--- a/inlet/conn.go
+++ b/inlet/conn.go
@@ -32,8 +32,10 @@
 	limit  *headLimit
 	reader *bufio.Reader
 	slots  chan *slot
-	mu     sync.Mutex
-	open   int
+	// begun belongs to the reader: bytes of the next request have come.
+	begun bool
+	mu    sync.Mutex
+	open  int
 	// last is set once a request has been read behind which no other is taken.
 	last bool
 }
@@ -90,9 +92,11 @@
 func (c *conn) request() (*http.Request, []byte, error) {
 	l := c.server.bounds()
 	c.limit.left = int64(l.HeadBytes + bufferBytes)
+	c.begun = false
 	if err := c.await(l); err != nil {
 		return nil, nil, err
 	}
+	c.begun = true
 	_ = c.SetReadDeadline(time.Now().Add(l.HeadTimeout.Duration()))
 	r, err := http.ReadRequest(c.reader)
 	if err != nil {
@@ -119,8 +123,7 @@
 	for {
 		_ = c.SetReadDeadline(time.Now().Add(l.IdleTimeout.Duration()))
 		_, err := c.reader.Peek(1)
-		var timeout net.Error
-		if err != nil && errors.As(err, &timeout) && timeout.Timeout() && c.busy() {
+		if err != nil && c.limit.late && c.busy() {
 			continue
 		}
 		return err
@@ -154,13 +157,12 @@
 // broken answers what can't be read, if anything of a request has come; a caller's close cancels all that runs.
 func (c *conn) broken(err error) {
 	var f *pomelo.Fault
-	var timeout net.Error
 	switch {
 	case errors.As(err, &f):
 		c.refuse(http.StatusRequestEntityTooLarge)
 	case errors.Is(err, errHead):
 		c.refuse(http.StatusRequestHeaderFieldsTooLarge)
-	case errors.As(err, &timeout) && timeout.Timeout():
+	case c.limit.late:
 		c.expired()
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isNetwork(err):
 		c.cancel()
@@ -171,7 +173,7 @@
 
 // expired closes an idle connection without a word, and answers half a request.
 func (c *conn) expired() {
-	if c.reader.Buffered() == 0 {
+	if !c.begun {
 		return
 	}
 	c.refuse(http.StatusRequestTimeout)
--- a/inlet/head_limit.go
+++ b/inlet/head_limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 
 	"github.com/cockroachdb/errors"
 )
@@ -12,6 +13,8 @@
 type headLimit struct {
 	io.Reader
 	left int64
+	// late is set once a read has run into its deadline, which the request reader may tell as a malformed line.
+	late bool
 }
 
 // Read implements io.Reader.
@@ -24,5 +27,7 @@
 	}
 	n, err := l.Reader.Read(b)
 	l.left -= int64(n)
+	var t net.Error
+	l.late = errors.As(err, &t) && t.Timeout()
 	return n, err
 }
