--- a/place/placer.go
+++ b/place/placer.go
@@ -22,6 +22,9 @@
 	firstRun = 100.0
 	// candidates is how many members are compared where there are more.
 	candidates = 3
+	// exploreShare of the calls go to any candidate, unless their body is larger than exploreMost bytes.
+	exploreShare = 0.03
+	exploreMost  = 4 << 10
 	// mostStates bounds what is kept of members that may be gone; forgetAfter is how long, in milliseconds, it is kept then.
 	mostStates  = 4096
 	forgetAfter = pomelo.Millis(60_000)
@@ -71,6 +74,10 @@
 		return pomelo.Member{}, false
 	}
 	best := left[0]
+	if len(c.Body) <= exploreMost && p.random.Float64() < exploreShare {
+		// What a member that gets no calls can do now is known by trying alone.
+		return best, true
+	}
 	least := p.cost(now, c, best)
 	for _, m := range left[1:] {
 		if k := p.cost(now, c, m); k < least {
--- /dev/null
+++ b/place/placer_test.go
@@ -0,0 +1,111 @@
+package place_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/clock"
+	"github.com/pomeloworks/pomelo/place"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const now = pomelo.Millis(1_000_000)
+
+var (
+	near  = pomelo.Member{VM: "near", AvailabilityZone: "a", Incarnation: "1", Slots: 50}
+	far   = pomelo.Member{VM: "far", AvailabilityZone: "b", Incarnation: "1", Slots: 50}
+	small = pomelo.Call{RouteName: "read"}
+	large = pomelo.Call{RouteName: "upload", Body: []byte(strings.Repeat("x", 60_000))}
+)
+
+// share sends calls and returns the part of them that the member gets; each member answers by its own time and load.
+func share(p *place.Placer, c pomelo.Call, m pomelo.Member, answers func(m pomelo.Member) pomelo.Answer) float64 {
+	const calls = 400
+	got := 0
+	for i := range calls {
+		to, ok := p.Pick(c, []pomelo.Member{near, far}, nil)
+		So(ok, ShouldBeTrue)
+		p.Sent(to)
+		p.Done(to, c, 100, answers(to))
+		if i >= calls/2 && to.VM == m.VM {
+			got++
+		}
+	}
+	return float64(got) / (calls / 2)
+}
+
+func TestPlacing(t *testing.T) {
+	Convey("A node in one of two zones", t, func() {
+		k := clock.New(clock.WithManual(now))
+		p := place.New(k, "a", 1)
+		like := func(own pomelo.Millis, load float64) pomelo.Answer {
+			return pomelo.Answer{Status: 200, Own: own, Load: load}
+		}
+
+		Convey("keeps calls in its zone while both are alike", func() {
+			So(share(p, small, near, func(pomelo.Member) pomelo.Answer { return like(100, 0.3) }), ShouldBeGreaterThan, 0.9)
+		})
+		Convey("crosses for a member that is much faster", func() {
+			So(share(p, small, far, func(m pomelo.Member) pomelo.Answer {
+				if m.VM == "near" {
+					return like(400, 0.3)
+				}
+				return like(50, 0.3)
+			}), ShouldBeGreaterThan, 0.8)
+		})
+		Convey("crosses when the near one is full", func() {
+			So(share(p, small, far, func(m pomelo.Member) pomelo.Answer {
+				if m.VM == "near" {
+					return like(100, 2)
+				}
+				return like(100, 0.3)
+			}), ShouldBeGreaterThan, 0.8)
+		})
+		Convey("keeps a large body in its zone where a small one crosses", func() {
+			answers := func(m pomelo.Member) pomelo.Answer {
+				if m.VM == "near" {
+					return like(150, 0.3)
+				}
+				return like(70, 0.3)
+			}
+			So(share(p, large, near, answers), ShouldBeGreaterThan, 0.9)
+			So(share(p, small, far, answers), ShouldBeGreaterThan, 0.8)
+		})
+		Convey("is not drawn to a member that fails fast", func() {
+			So(share(p, small, far, func(m pomelo.Member) pomelo.Answer {
+				if m.VM == "near" {
+					f := pomelo.NewFault(pomelo.KindOverload, "shed", "later")
+					a := pomelo.Refuse("1", f)
+					a.Reached = true
+					return a
+				}
+				return like(100, 0.3)
+			}), ShouldBeGreaterThan, 0.9)
+		})
+		Convey("leaves a member that can't be reached alone for a while, and one that leaves for good", func() {
+			p.Sent(near)
+			p.Done(near, small, 1, pomelo.Refuse("1", pomelo.NewFault(pomelo.KindPeerLost, "lost", "later")))
+			m, _ := p.Pick(small, []pomelo.Member{near, far}, nil)
+			So(m.VM, ShouldEqual, "far")
+			p.Sent(far)
+			p.Done(far, small, 1, pomelo.Refuse("1", pomelo.NewFault(pomelo.KindDraining, "leaving", "later")))
+			k.Advance(10_000)
+			m, _ = p.Pick(small, []pomelo.Member{near, far}, nil)
+			So(m.VM, ShouldEqual, "near")
+		})
+		Convey("gives a member that has just joined its part at once", func() {
+			joined := pomelo.Member{VM: "joined", AvailabilityZone: "a", Incarnation: "1", Slots: 50}
+			for range 200 {
+				p.Sent(near)
+				p.Done(near, small, 100, like(200, 0.9))
+			}
+			m, _ := p.Pick(small, []pomelo.Member{near, joined}, nil)
+			So(m.VM, ShouldEqual, "joined")
+		})
+		Convey("has nobody left when all were tried", func() {
+			_, ok := p.Pick(small, []pomelo.Member{near}, []string{"near"})
+			So(ok, ShouldBeFalse)
+		})
+	})
+}
--- a/place/state.go
+++ b/place/state.go
@@ -8,7 +8,10 @@
 )
 
 const (
-	speedWeight   = 0.05
+	speedWeight = 0.05
+	// rareWeight is the weight of an answer that comes sampleAge, in milliseconds, after the one before.
+	rareWeight    = 0.3
+	sampleAge     = 3_000.0
 	failureWeight = 0.1
 	// failureCost is what a certain failure would cost, in milliseconds: about another try after a wait.
 	failureCost = 1_500.0
@@ -41,13 +44,15 @@
 	// since counts the calls sent since then.
 	since int
 	// slow is the member's time by the mean time of the same calls.
-	slow     float64
-	failure  float64
-	failedAt pomelo.Millis
-	failures int
-	avoided  pomelo.Millis
-	draining bool
-	last     pomelo.Millis
+	slow      float64
+	samples   int
+	sampledAt pomelo.Millis
+	failure   float64
+	failedAt  pomelo.Millis
+	failures  int
+	avoided   pomelo.Millis
+	draining  bool
+	last      pomelo.Millis
 }
 
 func newState(incarnation string) *state {
@@ -80,7 +85,10 @@
 	s.fail(now, failed)
 	if mean > 0 && failed == 0 {
 		ratio := min(max(own/mean, leastSpeed), mostSpeed)
-		s.slow += speedWeight * (ratio - s.slow)
+		s.samples++
+		idle := min(float64(now-s.sampledAt)/sampleAge, 1)
+		s.slow += max(speedWeight, 1/float64(s.samples), idle*rareWeight) * (ratio - s.slow)
+		s.sampledAt = now
 	}
 }
 
--- /dev/null
+++ b/queue/queue_test.go
@@ -0,0 +1,149 @@
+package queue_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/clock"
+	"github.com/pomeloworks/pomelo/queue"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const (
+	now      = pomelo.Millis(1_000_000)
+	patience = 5 * time.Second
+)
+
+type entered struct {
+	id   string
+	pass pomelo.Pass
+	err  error
+}
+
+// enter starts a call and returns once it runs, waits or is refused.
+func enter(q *queue.Queue, c pomelo.Call, out chan entered) {
+	_, before, _ := q.Load()
+	done := make(chan struct{})
+	go func() {
+		p, err := q.Enter(context.Background(), c)
+		out <- entered{c.ID, p, err}
+		close(done)
+	}()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		select {
+		case <-done:
+			return
+		default:
+		}
+		if _, waiting, _ := q.Load(); waiting > before {
+			return
+		}
+	}
+}
+
+func call(id string, importance, depth int) pomelo.Call {
+	return pomelo.Call{ID: id, RootID: id, RouteName: "r", Importance: importance, Depth: depth, Deadline: now + 10_000, Aim: 10_000}
+}
+
+func TestOrder(t *testing.T) {
+	Convey("A slot goes to sub-calls of admitted work first, then by importance", t, func() {
+		k := clock.New(clock.WithManual(now))
+		q := queue.New(k, 1)
+		q.Announce(1, 0)
+		out := make(chan entered, 8)
+		enter(q, call("first", 0, 0), out)
+		first := <-out
+		So(first.err, ShouldBeNil)
+		enter(q, call("less", 1, 0), out)
+		enter(q, call("more", 8, 0), out)
+		enter(q, call("sub", 0, 1), out)
+		p := first.pass
+		for _, want := range []string{"sub", "more", "less"} {
+			p.End(10, true)
+			e := <-out
+			So(e.err, ShouldBeNil)
+			So(e.id, ShouldEqual, want)
+			p = e.pass
+		}
+	})
+}
+
+func TestTurnAway(t *testing.T) {
+	k := clock.New(clock.WithManual(now))
+	learn := func(q *queue.Queue, run pomelo.Millis) {
+		for i := range 100 {
+			p, err := q.Enter(context.Background(), call(fmt.Sprint("l", i), 0, 0))
+			So(err, ShouldBeNil)
+			p.End(run, true)
+		}
+	}
+	Convey("A queue of calls that take a second each", t, func() {
+		q := queue.New(k, 1)
+		q.Announce(2, 0)
+		learn(q, 1_000)
+		out := make(chan entered, 64)
+		for i := range 2 {
+			enter(q, call(fmt.Sprint("running", i), 0, 0), out)
+			<-out
+		}
+
+		Convey("refuses at once what can't end in time, as not run, and says when to come back", func() {
+			c := call("late", 0, 0)
+			c.Deadline = now + 1_200
+			_, err := q.Enter(context.Background(), c)
+			f := pomelo.FaultOf(err)
+			So(f.Kind, ShouldEqual, pomelo.KindOverload)
+			So(f.Ran, ShouldEqual, pomelo.RanNo)
+			So(f.RetryAfter, ShouldBeGreaterThan, 0)
+		})
+		Convey("refuses what would spend over half of its objective waiting", func() {
+			c := call("slow", 0, 0)
+			c.Aim = 600
+			_, err := q.Enter(context.Background(), c)
+			So(pomelo.IsKind(err, pomelo.KindOverload), ShouldBeTrue)
+		})
+		Convey("lets the more important one wait where the less important one is refused", func() {
+			for i := range 8 {
+				enter(q, call(fmt.Sprint("waiting", i), 4, 0), out)
+			}
+			less, more := call("less", 1, 0), call("more", 8, 0)
+			less.Aim, more.Aim = 6_000, 6_000
+			_, err := q.Enter(context.Background(), less)
+			So(pomelo.IsKind(err, pomelo.KindOverload), ShouldBeTrue)
+			enter(q, more, out)
+			_, waiting, _ := q.Load()
+			So(waiting, ShouldEqual, 9)
+		})
+		Convey("gives the place of a caller that leaves to nobody else twice", func() {
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan error, 1)
+			go func() {
+				_, err := q.Enter(ctx, call("left", 0, 0))
+				done <- err
+			}()
+			for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+				if _, waiting, _ := q.Load(); waiting == 1 {
+					break
+				}
+			}
+			cancel()
+			So(pomelo.IsKind(<-done, pomelo.KindCanceled), ShouldBeTrue)
+			running, waiting, _ := q.Load()
+			So(running, ShouldEqual, 2)
+			So(waiting, ShouldEqual, 0)
+		})
+	})
+
+	Convey("A queue starts with all slots that were announced, and refuses nothing while there is room", t, func() {
+		q := queue.New(k, 1)
+		q.Announce(50, 0)
+		for i := range 50 {
+			_, err := q.Enter(context.Background(), call(fmt.Sprint(i), 0, 0))
+			So(err, ShouldBeNil)
+		}
+		So(q.Threshold(""), ShouldEqual, 0)
+	})
+}
