--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -72,7 +72,7 @@
 	}
 }
 
-// Run keeps the record until the context ends, and then removes it.
+// Run keeps the record until the context ends; it lapses with its lease, or the VM's next process replaces it.
 func (b *Beacon) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := b.step(ctx)
@@ -85,7 +85,6 @@
 		}
 		b.wait(ctx, err)
 	}
-	b.remove()
 }
 
 func (b *Beacon) wait(ctx context.Context, err error) {
@@ -179,14 +178,3 @@
 	b.revision = r.Revision
 	return cause
 }
-
-func (b *Beacon) remove() {
-	if b.id == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), retryAfter.Duration())
-	defer cancel()
-	if err := b.store.Revoke(ctx, b.id); err != nil {
-		b.log.Warn("lease_not_ended", "lease", b.id, "error", err.Error())
-	}
-}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -91,7 +91,7 @@
 func (n *Node) resume() {
 	self := n.parts.Beacon.Member()
 	for _, m := range n.parts.View.Current() {
-		if m.VM != self.VM || m.Incarnation == self.Incarnation || m.Draining || m.UpstreamID == "" {
+		if m.VM != self.VM || m.Incarnation == self.Incarnation || m.UpstreamID == "" {
 			continue
 		}
 		n.parts.Worker.Resume(pomelo.Instance{
--- a/mesh/parts.go
+++ b/mesh/parts.go
@@ -139,7 +139,10 @@
 		b.Describe(func(x *pomelo.Member) {
 			x.Service = i.Service
 			x.Slots = i.Slots
-			x.UpstreamID = i.ID
+			x.UpstreamID = ""
+			if serving {
+				x.UpstreamID = i.ID
+			}
 			x.UpstreamAddress = i.Address
 			x.UpstreamBorn = i.Born
 			x.Draining = !serving || n.stopping.Load()
--- a/view/members.go
+++ b/view/members.go
@@ -112,18 +112,30 @@
 	return v.self()
 }
 
-// Serving returns the members that serve the service and are not draining; this node's own record is always up to date.
+// Serving returns the members that serve the service and are not draining, or those whose node is about to stop if there are no others; this node's own record is always up to date.
 func (v *View) Serving(service string) []pomelo.Member {
 	self := v.self()
 	all := v.roll.Load().services[service]
 	out := make([]pomelo.Member, 0, len(all)+1)
-	for _, m := range all {
-		if m.VM != self.VM && !m.Draining {
+	var stopping []pomelo.Member
+	consider := func(m pomelo.Member) {
+		switch {
+		case !m.Draining:
 			out = append(out, m)
+		case m.UpstreamID != "":
+			stopping = append(stopping, m)
+		}
+	}
+	for _, m := range all {
+		if m.VM != self.VM {
+			consider(m)
 		}
 	}
-	if self.Service == service && !self.Draining {
-		out = append(out, self)
+	if self.Service == service {
+		consider(self)
+	}
+	if len(out) == 0 {
+		return stopping
 	}
 	return out
 }
--- a/view/view.go
+++ b/view/view.go
@@ -53,9 +53,9 @@
 	peers    pomelo.Peers
 	metrics  pomelo.Metrics
 	// turn belongs to Run.
-	turn int
-	listed   chan struct{}
-	once     sync.Once
+	turn   int
+	listed chan struct{}
+	once   sync.Once
 }
 
 // lag is a revision that a read has shown and the watch has not reached, and when the read began.
