Rate parameters back to twelve parts (failed try)

Tried: six parts, reports only at expiry, a longer horizon; then no drawing ahead while homes run short.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -9,18 +9,18 @@
 	// onceTTL is the life of a grant for requests that wait for it; homes have the room back soon after.
 	onceTTL     = pomelo.Millis(150)
 	longestTTL  = pomelo.Millis(600)
-	horizon     = pomelo.Millis(450)
+	horizon     = pomelo.Millis(225)
 	horizonPart = 0.25 // of the time in which the burst is earned
 	closeAhead  = pomelo.Millis(60)
 	badFor      = pomelo.Millis(500)
 	againAfter  = pomelo.Millis(15)
 	// reportShare is the part of a part's burst whose use is reported without waiting for the next draw.
-	reportShare = 1.0
+	reportShare = 0.1
 	// othersShare is the part of a home's rate that is counted on when others draw from it as well.
 	othersShare = 0.3
 	dust        = 1e-9
 	whole       = 1 - 1e-9
-	drawShare   = 0.5 // of a part's burst in one draw
+	drawShare   = 0.25 // of a part's burst in one draw
 	millis      = 1_000
 )
 
--- a/rate_grant.go
+++ b/rate_grant.go
@@ -51,7 +51,7 @@
 
 // Most and fewest parts of a client account, and the bursts from which there are more.
 const (
-	rateMostParts  = 6
+	rateMostParts  = 12
 	rateSomeParts  = 6
 	rateFewParts   = 3
 	burstMostParts = 18
