Grow a call's stack in one step; two timers less a call

Cause: a tenth of the processor time of a call went into growing stacks step by step below deep calls (profile of BenchmarkPath, one core).

--- a/inlet/conn.go
+++ b/inlet/conn.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/stack"
 )
 
 const (
@@ -151,7 +152,10 @@
 	c.mu.Unlock()
 	c.server.pending.Add(1)
 	c.slots <- s
-	go func() { s.reply <- c.server.handler(c.ctx, r, body) }()
+	go func() {
+		stack.Grow()
+		s.reply <- c.server.handler(c.ctx, r, body)
+	}()
 }
 
 // broken answers what can't be read, if anything of a request has come; a caller's close cancels all that runs.
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -83,8 +83,6 @@
 }
 
 func (i *Intake) handle(ctx context.Context, c pomelo.Call) pomelo.Answer {
-	ctx, cancel := context.WithTimeout(ctx, (c.Deadline - i.clock.Now()).Duration())
-	defer cancel()
 	if c.Depth == 0 {
 		return i.entry.Handle(ctx, c)
 	}
--- a/listen/server.go
+++ b/listen/server.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/pomeloworks/pomelo"
 	"github.com/pomeloworks/pomelo/ident"
+	"github.com/pomeloworks/pomelo/stack"
 	"github.com/pomeloworks/pomelo/wire"
 	"github.com/quic-go/quic-go"
 )
@@ -172,6 +173,7 @@
 }
 
 func (s *Server) stream(st *quic.Stream, from pomelo.Member) {
+	stack.Grow()
 	defer func() { _ = st.Close() }()
 	m, err := s.codec.Read(st)
 	if err != nil {
--- a/uplink/link_test.go
+++ b/uplink/link_test.go
@@ -104,9 +104,11 @@
 	reused bool
 }{
 	{
-		name:  "a whole answer",
-		serve: func(c net.Conn, r *bufio.Reader, _ int) { loop(c, r, func(id string) string { return answer(id, "ok") }) },
-		body:  "ok", whole: true, reused: true,
+		name: "a whole answer",
+		serve: func(c net.Conn, r *bufio.Reader, _ int) {
+			loop(c, r, func(id string) string { return answer(id, "ok") })
+		},
+		body: "ok", whole: true, reused: true,
 	},
 	{
 		name: "an answer to another call first",
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -152,8 +152,11 @@
 func (w *Worker) handle(ctx context.Context, c pomelo.Call) pomelo.Answer {
 	arrived := w.clock.Now()
 	c.Deadline = arrived + c.Budget
-	ctx, cancel := context.WithTimeout(ctx, c.Budget.Duration())
-	defer cancel()
+	if _, ok := ctx.Deadline(); !ok {
+		timed, cancel := context.WithTimeout(ctx, c.Budget.Duration())
+		defer cancel()
+		ctx = timed
+	}
 	if f := w.admit(c); f != nil {
 		return pomelo.Refuse(c.ID, f)
 	}
