Spend retries on whole trees of calls; a refused handshake is not run

A node that has just restarted is not known to its peers, which turn its handshake down; its non-idempotent calls counted as in doubt though no stream was taken.

--- a/cmd/pomelo/cmd_sidecar.go
+++ b/cmd/pomelo/cmd_sidecar.go
@@ -21,6 +21,8 @@
 	settingsPoll = pomelo.Millis(1_000)
 	// heapShare of the process's memory limit is where the collector begins to work harder.
 	heapShare = 0.6
+	// heapGrowth lets the heap, a few megabytes, grow this many percent between two collections.
+	heapGrowth = 250
 )
 
 func cmdSidecar() command {
@@ -42,6 +44,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(heapGrowth)
 	debug.SetMemoryLimit(int64(heapShare * float64(settings.MemoryBytes)))
 	n, err := mesh.New(settings, host(settings), mesh.WithOutput(c.Output), mesh.WithMetricsPort(*port))
 	if err != nil {
--- a/control.go
+++ b/control.go
@@ -30,8 +30,8 @@
 // RetryLimiter bounds the retries to each service by what it is called; Retry counts the retry that it allows.
 type RetryLimiter interface {
 	Call(service string)
-	// The less important a call is, the sooner it finds the budget spent.
-	Retry(service string, importance int) bool
+	// The lower a call's position in the order of shedding, 0 to 1, the sooner it finds the budget spent.
+	Retry(service string, position float64) bool
 }
 
 // RateLimiter admits a client account's requests over the whole fleet; the error is a *Fault of KindRateExceeded.
--- a/dialer/link.go
+++ b/dialer/link.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/pomeloworks/pomelo"
 	"github.com/quic-go/quic-go"
 )
@@ -36,6 +37,12 @@
 	return !l.silent && l.conn.Context().Err() == nil
 }
 
+// refused reports whether the peer has turned the handshake down, so that it has never taken a stream of this connection.
+func (l *link) refused() bool {
+	var e *quic.TransportError
+	return errors.As(context.Cause(l.conn.Context()), &e) && e.Remote && e.ErrorCode.IsCryptoError()
+}
+
 // enter has the connection watched while the stream waits.
 func (l *link) enter(s *quic.Stream) {
 	l.mu.Lock()
--- a/dialer/send.go
+++ b/dialer/send.go
@@ -38,6 +38,9 @@
 		return a
 	}
 	defer cancelStream(s)
+	if l.refused() {
+		return pomelo.Refuse(c.ID, lost(err, pomelo.RanNo))
+	}
 	if pomelo.IsKind(err, pomelo.KindTooLarge) {
 		return pomelo.Refuse(c.ID, pomelo.FaultOf(err))
 	}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -16,6 +16,8 @@
 	unreadyReturn = pomelo.Millis(500)
 	// staleReturn is when the store may be back for a node whose knowledge of keys is too old.
 	staleReturn = pomelo.Millis(1_000)
+	// defaultReturn is for refusals that name no time: about that in which a change of members is known everywhere.
+	defaultReturn = pomelo.Millis(300)
 	// defaultPatience is for callers that don't say how long they wait.
 	defaultPatience = pomelo.Millis(10_000)
 )
@@ -188,13 +190,23 @@
 		}
 		return i.dialect.Reply(q.ID, a)
 	}
-	f := a.Refusal
+	f := *a.Refusal
+	if f.Ran == pomelo.RanNo && f.RetryAfter == 0 && mayReturn(f.Kind) {
+		f.RetryAfter = defaultReturn
+	}
+	a.Refusal = &f
 	r := i.dialect.Reply(q.ID, a)
 	i.metrics.Count("refused."+string(f.Kind), 1)
 	i.log.Info("request_refused", "request", q.ID, "root", c.RootID, "route", c.RouteName, "service", c.Service, "account", c.Account, "status", r.Status, "kind", f.Kind, "reason", f.Message, "ran", f.Ran, "took_ms", took, "policy", i.version(), "policy_age_ms", i.knowledge.Age(), "retry_after_ms", f.RetryAfter)
 	return r
 }
 
+// mayReturn reports whether the same request may be accepted later.
+func mayReturn(k pomelo.Kind) bool {
+	status := pomelo.StatusOf(k)
+	return status >= http.StatusInternalServerError || status == http.StatusTooManyRequests
+}
+
 func (i *Intake) version() int64 {
 	p, ok := i.knowledge.Policy()
 	if !ok {
--- a/ratio/ratio_test.go
+++ b/ratio/ratio_test.go
@@ -1,6 +1,7 @@
 package ratio_test
 
 import (
+	"math/rand/v2"
 	"testing"
 
 	"github.com/pomeloworks/pomelo/clock"
@@ -38,3 +39,38 @@
 		})
 	})
 }
+
+func TestOrder(t *testing.T) {
+	convey.Convey("While all upstreams of a deep service refuse half of the calls, the share goes to whole trees of calls", t, func() {
+		k := clock.New(clock.WithManual(1_000_000))
+		// trees counts those of which all four calls in sequence got an answer.
+		trees := func(r *ratio.Ratio) int {
+			random := rand.New(rand.NewPCG(1, 1))
+			whole := 0
+			for range 4_000 {
+				k.Advance(2)
+				position := random.Float64()
+				answered := 0
+				for range 4 {
+					r.Call("deep")
+					got := random.Float64() < 0.55
+					for !got && r.Retry("deep", position) {
+						got = random.Float64() < 0.55
+					}
+					if !got {
+						break
+					}
+					answered++
+				}
+				if answered == 4 {
+					whole++
+				}
+			}
+			return whole
+		}
+		plain := trees(ratio.New(k, ratio.WithShare(0.18, 2)))
+		k.Advance(60_000)
+		ordered := trees(ratio.New(k, ratio.WithShare(0.18, 2), ratio.WithOrder()))
+		convey.So(float64(ordered), convey.ShouldBeGreaterThan, 1.2*float64(plain))
+	})
+}
