Plain retry share again; returns of refused requests spread over 0.6 s

Cause looked at: retries spent on the highest positions first, and waits bounded by half of the objective.

--- a/control.go
+++ b/control.go
@@ -30,8 +30,7 @@
 // RetryLimiter bounds the retries to each service by what it is called; Retry counts the retry that it allows.
 type RetryLimiter interface {
 	Call(service string)
-	// The lower a call's position in the order of shedding, 0 to 1, the sooner it finds the budget spent.
-	Retry(service string, position float64) bool
+	Retry(service string) bool
 }
 
 // RateLimiter admits a client account's requests over the whole fleet; the error is a *Fault of KindRateExceeded.
--- a/mesh/parts.go
+++ b/mesh/parts.go
@@ -33,7 +33,7 @@
 
 const (
 	// retryPart of the platform's share is spent, since sub-calls of repeated calls count as well.
-	retryPart = 0.9
+	retryPart = 0.8
 	// retryFloor is how many retries in ten seconds a node may send to a service that it hardly calls.
 	retryFloor = 2
 	// placements bounds the members that are asked for one call while none has sent it to an upstream.
@@ -162,7 +162,7 @@
 
 func newSender(n *Node, c *clock.Clock, v *view.View, d *dialer.Pool, w *worker.Worker, m *metric.Sink) *send.Sender {
 	p := place.New(c, n.settings.AvailabilityZone, newSeed())
-	r := ratio.New(c, ratio.WithShare(retryPart*n.settings.RetryShare, retryFloor), ratio.WithOrder())
+	r := ratio.New(c, ratio.WithShare(retryPart*n.settings.RetryShare, retryFloor))
 	return send.New(c, v, p, d, w, m, send.WithRetryLimiter(r), send.WithPlacements(placements))
 }
 
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -89,7 +89,7 @@
 		return q.admitted(t, f)
 	default:
 	}
-	timer, cancel := context.WithTimeout(ctx, min(t.latest()-t.arrived, q.patience(t)).Duration())
+	timer, cancel := context.WithTimeout(ctx, (t.latest() - t.arrived).Duration())
 	defer cancel()
 	select {
 	case f := <-t.verdict:
--- a/rates/limiter.go
+++ b/rates/limiter.go
@@ -25,8 +25,8 @@
 	returnEach  = pomelo.Millis(40)
 	noHomeAfter = pomelo.Millis(1_000)
 	idleFor     = pomelo.Millis(60_000)
-	// returnSpread is the time over which refused requests come back, about that in which a full bucket is earned again.
-	returnSpread = pomelo.Millis(800)
+	// returnSpread is the time over which refused requests come back, long enough for a bucket to earn some tokens.
+	returnSpread = pomelo.Millis(600)
 )
 
 // Limiter implements pomelo.RateLimiter.
--- a/ratio/ratio.go
+++ b/ratio/ratio.go
@@ -12,8 +12,6 @@
 	defaultFloor = 10
 	bucketLength = pomelo.Millis(1_000)
 	buckets      = 10
-	// leastPosition leaves a tenth of the share to every call, since few retries are no sign of want.
-	leastPosition = 0.1
 )
 
 // Ratio counts calls and retries by service over the last ten seconds.
@@ -21,7 +19,6 @@
 	clock    pomelo.Clock
 	share    float64
 	floor    int
-	ordered  bool
 	mu       sync.Mutex
 	services map[string]*window
 }
@@ -50,25 +47,18 @@
 	r.window(service).add(1, 0)
 }
 
-// Retry counts one more attempt and reports true, or reports false when the service has had its share of retries; in an ordered ratio, calls of a position below the part already spent leave the rest to others.
-func (r *Ratio) Retry(service string, position float64) bool {
+// Retry counts one more attempt and reports true, or reports false when the service has had its share of retries.
+func (r *Ratio) Retry(service string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.window(service)
-	budget := float64(r.floor) + r.share*float64(w.calls)
-	spent := float64(w.retries)
-	if spent >= budget || r.ordered && spent > max(position, leastPosition)*budget {
+	if float64(w.retries) >= float64(r.floor)+r.share*float64(w.calls) {
 		return false
 	}
 	w.add(0, 1)
 	return true
 }
 
-// WithOrder gives the share to calls of a high position first, so that whole trees of calls succeed rather than parts of many.
-func WithOrder() func(*Ratio) {
-	return func(r *Ratio) { r.ordered = true }
-}
-
 func (r *Ratio) window(service string) *window {
 	w := r.services[service]
 	if w == nil {
--- a/send/sender.go
+++ b/send/sender.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"github.com/pomeloworks/pomelo"
-	"github.com/pomeloworks/pomelo/rank"
 )
 
 const noUpstreamRetryAfter = pomelo.Millis(1000)
@@ -119,7 +118,7 @@
 
 // allowed lets a call that a leaving upstream turned away go on whatever the ratio: a planned stop is no sign of overload.
 func (s *Sender) allowed(c pomelo.Call, a pomelo.Answer) bool {
-	return a.Refusal.Kind == pomelo.KindDraining || s.retries.Retry(c.Service, rank.Of(c).Position())
+	return a.Refusal.Kind == pomelo.KindDraining || s.retries.Retry(c.Service)
 }
 
 func (s *Sender) attempt(ctx context.Context, m pomelo.Member, c pomelo.Call) pomelo.Answer {
--- a/send/unlimited.go
+++ b/send/unlimited.go
@@ -7,4 +7,4 @@
 func (unlimited) Call(string) {}
 
 // Retry is always allowed.
-func (unlimited) Retry(string, float64) bool { return true }
+func (unlimited) Retry(string) bool { return true }
