--- /dev/null
+++ b/view/view_test.go
@@ -0,0 +1,72 @@
+package view_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/clock"
+	"github.com/pomeloworks/pomelo/logs"
+	"github.com/pomeloworks/pomelo/metric"
+	"github.com/pomeloworks/pomelo/view"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const patience = 5 * time.Second
+
+// records is a pomelo.Store that has the same records for ever.
+type records struct {
+	pomelo.Store
+	policy pomelo.Record
+}
+
+// List returns the policy.
+func (s records) List(_ context.Context, prefix string) (pomelo.Listing, error) {
+	l := pomelo.Listing{Revision: 5}
+	if prefix == s.policy.Key {
+		l.Records = []pomelo.Record{s.policy}
+	}
+	return l, nil
+}
+
+// Watch hears nothing.
+func (s records) Watch(ctx context.Context, _ string, since pomelo.Revision, _ pomelo.Millis) (pomelo.Listing, error) {
+	<-ctx.Done()
+	return pomelo.Listing{Revision: since}, ctx.Err()
+}
+
+func parse(b []byte) (pomelo.PolicySpec, error) {
+	return pomelo.PolicySpec{Version: int64(b[0])}, nil
+}
+
+func TestProof(t *testing.T) {
+	Convey("What a node tells a peer of its knowledge is never younger than its own read", t, func() {
+		k := clock.New(clock.WithManual(50_000))
+		self := func() pomelo.Member { return pomelo.Member{VM: "a"} }
+		s := records{policy: pomelo.Record{Key: "policy", Value: []byte{3}, Revision: 5}}
+		v := view.New(s, k, logs.New(io.Discard), "policy", parse, self, view.WithPeers(nil, metric.New()))
+		_, err := v.Answer(context.Background(), pomelo.Member{}, nil)
+		So(pomelo.IsKind(err, pomelo.KindNoStanding), ShouldBeTrue)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go v.Run(ctx)
+		<-v.Listed()
+		for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			if _, ok := v.Policy(); ok && v.MembersAge() < 1_000 && v.Age() < 1_000 {
+				break
+			}
+		}
+		cancel()
+		k.Advance(400)
+		r, err := v.Answer(context.Background(), pomelo.Member{}, nil)
+		So(err, ShouldBeNil)
+		p := r.(view.Proof)
+		So(p.Version, ShouldEqual, 3)
+		So(p.Watched, ShouldEqual, 5)
+		So(p.Age, ShouldBeGreaterThanOrEqualTo, 400)
+		So(p.MembersAge, ShouldBeGreaterThanOrEqualTo, 400)
+		So(v.Age(), ShouldEqual, p.Age)
+	})
+}
