--- a/inlet/conn_test.go
+++ b/inlet/conn_test.go
@@ -16,7 +16,7 @@
 	"github.com/pomeloworks/pomelo/inlet"
 	"github.com/pomeloworks/pomelo/logs"
 	"github.com/pomeloworks/pomelo/metric"
-	. "github.com/smartystreets/goconvey/convey"
+	"github.com/smartystreets/goconvey/convey"
 )
 
 const patience = 5 * time.Second
@@ -32,7 +32,7 @@
 
 func dial(s *inlet.Server) (net.Conn, *bufio.Reader) {
 	c, err := net.Dial("tcp", s.Address())
-	So(err, ShouldBeNil)
+	convey.So(err, convey.ShouldBeNil)
 	_ = c.SetDeadline(time.Now().Add(patience))
 	return c, bufio.NewReader(c)
 }
@@ -57,22 +57,22 @@
 func TestRefusals(t *testing.T) {
 	limits := pomelo.TrafficLimits{HeadBytes: 4_000, BodyBytes: 4_000, HeadTimeout: 100, IdleTimeout: 1_000}
 	for _, v := range refusals {
-		Convey("A caller that sends "+v.name+" is told so, and its connection is closed", t, func() {
+		convey.Convey("A caller that sends "+v.name+" is told so, and its connection is closed", t, func() {
 			s := start(t, echo, limits)
 			c, r := dial(s)
 			defer func() { _ = c.Close() }()
 			_, err := io.WriteString(c, v.sent)
-			So(err, ShouldBeNil)
+			convey.So(err, convey.ShouldBeNil)
 			resp, err := http.ReadResponse(r, nil)
-			So(err, ShouldBeNil)
-			So(resp.StatusCode, ShouldEqual, v.status)
-			So(resp.Close, ShouldBeTrue)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(resp.StatusCode, convey.ShouldEqual, v.status)
+			convey.So(resp.Close, convey.ShouldBeTrue)
 		})
 	}
 }
 
 func TestOrder(t *testing.T) {
-	Convey("Requests sent one behind the other run side by side and are answered in order", t, func() {
+	convey.Convey("Requests sent one behind the other run side by side and are answered in order", t, func() {
 		release := make(chan struct{})
 		h := func(ctx context.Context, r *http.Request, body []byte) pomelo.Reply {
 			if r.URL.Path == "/0" {
@@ -90,30 +90,30 @@
 		}
 		for i := range 4 {
 			resp, err := http.ReadResponse(r, nil)
-			So(err, ShouldBeNil)
-			So(resp.Header.Get("X-Path"), ShouldEqual, fmt.Sprintf("/%d", i))
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(resp.Header.Get("X-Path"), convey.ShouldEqual, fmt.Sprintf("/%d", i))
 			_, _ = io.Copy(io.Discard, resp.Body)
 		}
 	})
 }
 
 func TestBodies(t *testing.T) {
-	Convey("Bodies with a length and in chunks arrive whole, and the next request begins behind them", t, func() {
+	convey.Convey("Bodies with a length and in chunks arrive whole, and the next request begins behind them", t, func() {
 		s := start(t, echo, pomelo.TrafficLimits{})
 		c, r := dial(s)
 		defer func() { _ = c.Close() }()
 		_, _ = io.WriteString(c, "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\nPOST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nfg")
 		for _, want := range []string{"abcde", "fg"} {
 			resp, err := http.ReadResponse(r, nil)
-			So(err, ShouldBeNil)
+			convey.So(err, convey.ShouldBeNil)
 			b, _ := io.ReadAll(resp.Body)
-			So(string(b), ShouldEqual, want)
+			convey.So(string(b), convey.ShouldEqual, want)
 		}
 	})
 }
 
 func TestLeaving(t *testing.T) {
-	Convey("A caller's close cancels what runs for it", t, func() {
+	convey.Convey("A caller's close cancels what runs for it", t, func() {
 		canceled := make(chan struct{})
 		h := func(ctx context.Context, _ *http.Request, _ []byte) pomelo.Reply {
 			<-ctx.Done()
@@ -128,13 +128,13 @@
 		select {
 		case <-canceled:
 		case <-time.After(patience):
-			So("the request", ShouldEqual, "cancelled")
+			convey.So("the request", convey.ShouldEqual, "cancelled")
 		}
 	})
 }
 
 func TestDrain(t *testing.T) {
-	Convey("While the node drains, each connection ends with its next answer, and what was sent behind it is not taken", t, func() {
+	convey.Convey("While the node drains, each connection ends with its next answer, and what was sent behind it is not taken", t, func() {
 		taken := make(chan string, 8)
 		h := func(ctx context.Context, r *http.Request, body []byte) pomelo.Reply {
 			taken <- r.URL.Path
@@ -146,13 +146,13 @@
 		s.Drain()
 		_, _ = io.WriteString(c, "GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n")
 		resp, err := http.ReadResponse(r, nil)
-		So(err, ShouldBeNil)
-		So(resp.Close, ShouldBeTrue)
-		So(<-taken, ShouldEqual, "/a")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(resp.Close, convey.ShouldBeTrue)
+		convey.So(<-taken, convey.ShouldEqual, "/a")
 		_, _ = io.Copy(io.Discard, resp.Body)
 		_, err = http.ReadResponse(r, nil)
-		So(err, ShouldNotBeNil)
-		So(len(taken), ShouldEqual, 0)
+		convey.So(err, convey.ShouldNotBeNil)
+		convey.So(len(taken), convey.ShouldEqual, 0)
 	})
 }
 
--- a/mesh/outage_test.go
+++ b/mesh/outage_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/pomeloworks/pomelo/platform"
 	"github.com/pomeloworks/pomelo/platform/fake"
-	. "github.com/smartystreets/goconvey/convey"
+	"github.com/smartystreets/goconvey/convey"
 )
 
 // outages are the ways in which the store may fail one node or all.
@@ -24,7 +24,7 @@
 
 func TestKeyAge(t *testing.T) {
 	for _, o := range outages {
-		Convey("While the store "+o.name+", keys are trusted for less than their bound, open routes go on, and all comes back with the store", t, func() {
+		convey.Convey("While the store "+o.name+", keys are trusted for less than their bound, open routes go on, and all comes back with the store", t, func() {
 			f := newFleet(t, 2)
 			f.settle()
 			a := f.nodes[0]
@@ -38,33 +38,33 @@
 				status, _ := a.ask("GET", "/a/x", fmt.Sprint("k", n), "")
 				return status == http.StatusServiceUnavailable
 			})
-			So(refused, ShouldBeTrue)
-			So(time.Since(began).Milliseconds(), ShouldBeLessThan, int64(a.settings.KeyMaxAge))
+			convey.So(refused, convey.ShouldBeTrue)
+			convey.So(time.Since(began).Milliseconds(), convey.ShouldBeLessThan, int64(a.settings.KeyMaxAge))
 			status, _ := a.ask("POST", "/b/x", "open", "order")
-			So(status, ShouldEqual, http.StatusOK)
+			convey.So(status, convey.ShouldEqual, http.StatusOK)
 			f.store.Put(platform.KeyPolicy, fmt.Appendf(nil, policyText, 2, "other"))
 			for i := range f.nodes {
 				f.store.SetFault(strconv.Itoa(i), fake.Fault{})
 			}
-			So(until(func() bool {
+			convey.So(until(func() bool {
 				n++
 				status, _ := a.ask("GET", "/a/x", fmt.Sprint("k", n), "")
 				return status == http.StatusUnauthorized
-			}), ShouldBeTrue)
+			}), convey.ShouldBeTrue)
 		})
 	}
 }
 
 func TestCompaction(t *testing.T) {
-	Convey("A watch whose history is gone reads everything anew", t, func() {
+	convey.Convey("A watch whose history is gone reads everything anew", t, func() {
 		f := newFleet(t, 1)
 		f.settle()
 		f.store.Compact()
 		f.store.Put(platform.KeyPolicy, fmt.Appendf(nil, policyText, 2, "other"))
 		f.store.Compact()
-		So(until(func() bool {
+		convey.So(until(func() bool {
 			status, _ := f.nodes[0].ask("GET", "/a/x", "c", "")
 			return status == http.StatusUnauthorized
-		}), ShouldBeTrue)
+		}), convey.ShouldBeTrue)
 	})
 }
--- a/mesh/path_test.go
+++ b/mesh/path_test.go
@@ -20,7 +20,7 @@
 	"github.com/pomeloworks/pomelo/metric"
 	"github.com/pomeloworks/pomelo/platform"
 	"github.com/pomeloworks/pomelo/platform/fake"
-	. "github.com/smartystreets/goconvey/convey"
+	"github.com/smartystreets/goconvey/convey"
 )
 
 const (
@@ -184,63 +184,63 @@
 		}
 		return true
 	})
-	So(ok, ShouldBeTrue)
+	convey.So(ok, convey.ShouldBeTrue)
 }
 
 func TestPath(t *testing.T) {
-	Convey("A fleet of three nodes", t, func() {
+	convey.Convey("A fleet of three nodes", t, func() {
 		f := newFleet(t, 3)
 		f.settle()
 		a := f.nodes[0]
 
-		Convey("runs a request with the account of its key, without the key, and with the true origin", func() {
+		convey.Convey("runs a request with the account of its key, without the key, and with the true origin", func() {
 			status, body := a.ask("GET", "/a/x", "r1", "")
-			So(status, ShouldEqual, http.StatusOK)
-			So(body, ShouldEqual, "GET /a/x account=acme origin=shop key= body=0")
+			convey.So(status, convey.ShouldEqual, http.StatusOK)
+			convey.So(body, convey.ShouldEqual, "GET /a/x account=acme origin=shop key= body=0")
 		})
-		Convey("answers what no route matches with 404, and an unknown key with 401", func() {
+		convey.Convey("answers what no route matches with 404, and an unknown key with 401", func() {
 			status, _ := a.ask("GET", "/c/x", "r2", "")
-			So(status, ShouldEqual, http.StatusNotFound)
+			convey.So(status, convey.ShouldEqual, http.StatusNotFound)
 			f.store.Put(platform.KeyPolicy, fmt.Appendf(nil, policyText, 2, "other"))
-			So(until(func() bool { s, _ := a.ask("GET", "/a/x", "r3", ""); return s == http.StatusUnauthorized }), ShouldBeTrue)
+			convey.So(until(func() bool { s, _ := a.ask("GET", "/a/x", "r3", ""); return s == http.StatusUnauthorized }), convey.ShouldBeTrue)
 		})
-		Convey("never goes back to an older policy", func() {
+		convey.Convey("never goes back to an older policy", func() {
 			f.store.Put(platform.KeyPolicy, fmt.Appendf(nil, policyText, 9, "other"))
-			So(until(func() bool { s, _ := a.ask("GET", "/a/x", "r4", ""); return s == http.StatusUnauthorized }), ShouldBeTrue)
+			convey.So(until(func() bool { s, _ := a.ask("GET", "/a/x", "r4", ""); return s == http.StatusUnauthorized }), convey.ShouldBeTrue)
 			f.store.Put(platform.KeyPolicy, fmt.Appendf(nil, policyText, 8, key))
 			f.store.Put(platform.KeyPolicy, []byte("{"))
 			time.Sleep(300 * time.Millisecond)
 			s, _ := a.ask("GET", "/a/x", "r5", "")
-			So(s, ShouldEqual, http.StatusUnauthorized)
+			convey.So(s, convey.ShouldEqual, http.StatusUnauthorized)
 		})
-		Convey("stops sending to an upstream that says that it leaves", func() {
-			So(a.beat("draining", 1_000_000), ShouldEqual, http.StatusOK)
+		convey.Convey("stops sending to an upstream that says that it leaves", func() {
+			convey.So(a.beat("draining", 1_000_000), convey.ShouldEqual, http.StatusOK)
 			before := a.upstream.runs.Load()
 			for i := range 20 {
 				s, _ := f.nodes[i%3].ask("POST", "/b/x", fmt.Sprintf("d%d", i), "order")
-				So(s, ShouldEqual, http.StatusOK)
+				convey.So(s, convey.ShouldEqual, http.StatusOK)
 			}
-			So(a.upstream.runs.Load(), ShouldEqual, before)
-			So(a.beat("ready", 5), ShouldEqual, http.StatusOK)
+			convey.So(a.upstream.runs.Load(), convey.ShouldEqual, before)
+			convey.So(a.beat("ready", 5), convey.ShouldEqual, http.StatusOK)
 			time.Sleep(100 * time.Millisecond)
 			_, _ = a.ask("GET", "/a/x", "d-late", "")
-			So(a.upstream.runs.Load(), ShouldEqual, before)
+			convey.So(a.upstream.runs.Load(), convey.ShouldEqual, before)
 		})
-		Convey("answers pipelined requests in their order", func() {
+		convey.Convey("answers pipelined requests in their order", func() {
 			c, err := net.Dial("tcp", a.settings.CallerAddress)
-			So(err, ShouldBeNil)
+			convey.So(err, convey.ShouldBeNil)
 			defer func() { _ = c.Close() }()
 			var b strings.Builder
 			for i := range 5 {
 				fmt.Fprintf(&b, "GET /a/%d HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: p%d\r\nDeadline-Ms: 2000\r\nAuthorization: Bearer %s\r\n\r\n", i, i, key)
 			}
 			_, err = io.WriteString(c, b.String())
-			So(err, ShouldBeNil)
+			convey.So(err, convey.ShouldBeNil)
 			r := bufio.NewReader(c)
 			for i := range 5 {
 				resp, err := http.ReadResponse(r, nil)
-				So(err, ShouldBeNil)
-				So(resp.Header.Get("Request-Id"), ShouldEqual, fmt.Sprintf("p%d", i))
+				convey.So(err, convey.ShouldBeNil)
+				convey.So(resp.Header.Get("Request-Id"), convey.ShouldEqual, fmt.Sprintf("p%d", i))
 				_, _ = io.Copy(io.Discard, resp.Body)
 			}
 		})
@@ -249,10 +249,10 @@
 
 // BenchmarkPath measures a call through two nodes.
 func BenchmarkPath(b *testing.B) {
-	Convey("a settled fleet", b, func() {
+	convey.Convey("a settled fleet", b, func() {
 		f := newFleet(b, 2)
 		f.settle()
-		So(f.nodes[1].beat("draining", 1_000_000), ShouldEqual, http.StatusOK)
+		convey.So(f.nodes[1].beat("draining", 1_000_000), convey.ShouldEqual, http.StatusOK)
 		time.Sleep(300 * time.Millisecond)
 		b.ResetTimer()
 		for i := range b.N {
--- a/place/placer.go
+++ b/place/placer.go
@@ -139,8 +139,8 @@
 	p.state(now, m).sent()
 }
 
-// Done learns from the answer, which took so many milliseconds.
-func (p *Placer) Done(m pomelo.Member, c pomelo.Call, took pomelo.Millis, a pomelo.Answer) {
+// Done learns from the answer, which says itself how long the upstream worked on it.
+func (p *Placer) Done(m pomelo.Member, c pomelo.Call, _ pomelo.Millis, a pomelo.Answer) {
 	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/place/placer_test.go
+++ b/place/placer_test.go
@@ -7,7 +7,7 @@
 	"github.com/pomeloworks/pomelo"
 	"github.com/pomeloworks/pomelo/clock"
 	"github.com/pomeloworks/pomelo/place"
-	. "github.com/smartystreets/goconvey/convey"
+	"github.com/smartystreets/goconvey/convey"
 )
 
 const now = pomelo.Millis(1_000_000)
@@ -25,7 +25,7 @@
 	got := 0
 	for i := range calls {
 		to, ok := p.Pick(c, []pomelo.Member{near, far}, nil)
-		So(ok, ShouldBeTrue)
+		convey.So(ok, convey.ShouldBeTrue)
 		p.Sent(to)
 		p.Done(to, c, 100, answers(to))
 		if i >= calls/2 && to.VM == m.VM {
@@ -36,44 +36,44 @@
 }
 
 func TestPlacing(t *testing.T) {
-	Convey("A node in one of two zones", t, func() {
+	convey.Convey("A node in one of two zones", t, func() {
 		k := clock.New(clock.WithManual(now))
 		p := place.New(k, "a", 1)
 		like := func(own pomelo.Millis, load float64) pomelo.Answer {
 			return pomelo.Answer{Status: 200, Own: own, Load: load}
 		}
 
-		Convey("keeps calls in its zone while both are alike", func() {
-			So(share(p, small, near, func(pomelo.Member) pomelo.Answer { return like(100, 0.3) }), ShouldBeGreaterThan, 0.9)
+		convey.Convey("keeps calls in its zone while both are alike", func() {
+			convey.So(share(p, small, near, func(pomelo.Member) pomelo.Answer { return like(100, 0.3) }), convey.ShouldBeGreaterThan, 0.9)
 		})
-		Convey("crosses for a member that is much faster", func() {
-			So(share(p, small, far, func(m pomelo.Member) pomelo.Answer {
+		convey.Convey("crosses for a member that is much faster", func() {
+			convey.So(share(p, small, far, func(m pomelo.Member) pomelo.Answer {
 				if m.VM == "near" {
 					return like(400, 0.3)
 				}
 				return like(50, 0.3)
-			}), ShouldBeGreaterThan, 0.8)
+			}), convey.ShouldBeGreaterThan, 0.8)
 		})
-		Convey("crosses when the near one is full", func() {
-			So(share(p, small, far, func(m pomelo.Member) pomelo.Answer {
+		convey.Convey("crosses when the near one is full", func() {
+			convey.So(share(p, small, far, func(m pomelo.Member) pomelo.Answer {
 				if m.VM == "near" {
 					return like(100, 2)
 				}
 				return like(100, 0.3)
-			}), ShouldBeGreaterThan, 0.8)
+			}), convey.ShouldBeGreaterThan, 0.8)
 		})
-		Convey("keeps a large body in its zone where a small one crosses", func() {
+		convey.Convey("keeps a large body in its zone where a small one crosses", func() {
 			answers := func(m pomelo.Member) pomelo.Answer {
 				if m.VM == "near" {
 					return like(150, 0.3)
 				}
 				return like(70, 0.3)
 			}
-			So(share(p, large, near, answers), ShouldBeGreaterThan, 0.9)
-			So(share(p, small, far, answers), ShouldBeGreaterThan, 0.8)
+			convey.So(share(p, large, near, answers), convey.ShouldBeGreaterThan, 0.9)
+			convey.So(share(p, small, far, answers), convey.ShouldBeGreaterThan, 0.8)
 		})
-		Convey("is not drawn to a member that fails fast", func() {
-			So(share(p, small, far, func(m pomelo.Member) pomelo.Answer {
+		convey.Convey("is not drawn to a member that fails fast", func() {
+			convey.So(share(p, small, far, func(m pomelo.Member) pomelo.Answer {
 				if m.VM == "near" {
 					f := pomelo.NewFault(pomelo.KindOverload, "shed", "later")
 					a := pomelo.Refuse("1", f)
@@ -81,31 +81,31 @@
 					return a
 				}
 				return like(100, 0.3)
-			}), ShouldBeGreaterThan, 0.9)
+			}), convey.ShouldBeGreaterThan, 0.9)
 		})
-		Convey("leaves a member that can't be reached alone for a while, and one that leaves for good", func() {
+		convey.Convey("leaves a member that can't be reached alone for a while, and one that leaves for good", func() {
 			p.Sent(near)
 			p.Done(near, small, 1, pomelo.Refuse("1", pomelo.NewFault(pomelo.KindPeerLost, "lost", "later")))
 			m, _ := p.Pick(small, []pomelo.Member{near, far}, nil)
-			So(m.VM, ShouldEqual, "far")
+			convey.So(m.VM, convey.ShouldEqual, "far")
 			p.Sent(far)
 			p.Done(far, small, 1, pomelo.Refuse("1", pomelo.NewFault(pomelo.KindDraining, "leaving", "later")))
 			k.Advance(10_000)
 			m, _ = p.Pick(small, []pomelo.Member{near, far}, nil)
-			So(m.VM, ShouldEqual, "near")
+			convey.So(m.VM, convey.ShouldEqual, "near")
 		})
-		Convey("gives a member that has just joined its part at once", func() {
+		convey.Convey("gives a member that has just joined its part at once", func() {
 			joined := pomelo.Member{VM: "joined", AvailabilityZone: "a", Incarnation: "1", Slots: 50}
 			for range 200 {
 				p.Sent(near)
 				p.Done(near, small, 100, like(200, 0.9))
 			}
 			m, _ := p.Pick(small, []pomelo.Member{near, joined}, nil)
-			So(m.VM, ShouldEqual, "joined")
+			convey.So(m.VM, convey.ShouldEqual, "joined")
 		})
-		Convey("has nobody left when all were tried", func() {
+		convey.Convey("has nobody left when all were tried", func() {
 			_, ok := p.Pick(small, []pomelo.Member{near}, []string{"near"})
-			So(ok, ShouldBeFalse)
+			convey.So(ok, convey.ShouldBeFalse)
 		})
 	})
 }
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -9,7 +9,7 @@
 	"github.com/pomeloworks/pomelo"
 	"github.com/pomeloworks/pomelo/clock"
 	"github.com/pomeloworks/pomelo/queue"
-	. "github.com/smartystreets/goconvey/convey"
+	"github.com/smartystreets/goconvey/convey"
 )
 
 const (
@@ -49,14 +49,14 @@
 }
 
 func TestOrder(t *testing.T) {
-	Convey("A slot goes to sub-calls of admitted work first, then by importance", t, func() {
+	convey.Convey("A slot goes to sub-calls of admitted work first, then by importance", t, func() {
 		k := clock.New(clock.WithManual(now))
 		q := queue.New(k, 1)
 		q.Announce(1, 0)
 		out := make(chan entered, 8)
 		enter(q, call("first", 0, 0), out)
 		first := <-out
-		So(first.err, ShouldBeNil)
+		convey.So(first.err, convey.ShouldBeNil)
 		enter(q, call("less", 1, 0), out)
 		enter(q, call("more", 8, 0), out)
 		enter(q, call("sub", 0, 1), out)
@@ -64,8 +64,8 @@
 		for _, want := range []string{"sub", "more", "less"} {
 			p.End(10, true)
 			e := <-out
-			So(e.err, ShouldBeNil)
-			So(e.id, ShouldEqual, want)
+			convey.So(e.err, convey.ShouldBeNil)
+			convey.So(e.id, convey.ShouldEqual, want)
 			p = e.pass
 		}
 	})
@@ -76,11 +76,11 @@
 	learn := func(q *queue.Queue, run pomelo.Millis) {
 		for i := range 100 {
 			p, err := q.Enter(context.Background(), call(fmt.Sprint("l", i), 0, 0))
-			So(err, ShouldBeNil)
+			convey.So(err, convey.ShouldBeNil)
 			p.End(run, true)
 		}
 	}
-	Convey("A queue of calls that take a second each", t, func() {
+	convey.Convey("A queue of calls that take a second each", t, func() {
 		q := queue.New(k, 1)
 		q.Announce(2, 0)
 		learn(q, 1_000)
@@ -90,34 +90,34 @@
 			<-out
 		}
 
-		Convey("refuses at once what can't end in time, as not run, and says when to come back", func() {
+		convey.Convey("refuses at once what can't end in time, as not run, and says when to come back", func() {
 			c := call("late", 0, 0)
 			c.Deadline = now + 1_200
 			_, err := q.Enter(context.Background(), c)
 			f := pomelo.FaultOf(err)
-			So(f.Kind, ShouldEqual, pomelo.KindOverload)
-			So(f.Ran, ShouldEqual, pomelo.RanNo)
-			So(f.RetryAfter, ShouldBeGreaterThan, 0)
+			convey.So(f.Kind, convey.ShouldEqual, pomelo.KindOverload)
+			convey.So(f.Ran, convey.ShouldEqual, pomelo.RanNo)
+			convey.So(f.RetryAfter, convey.ShouldBeGreaterThan, 0)
 		})
-		Convey("refuses what would spend over half of its objective waiting", func() {
+		convey.Convey("refuses what would spend over half of its objective waiting", func() {
 			c := call("slow", 0, 0)
 			c.Aim = 600
 			_, err := q.Enter(context.Background(), c)
-			So(pomelo.IsKind(err, pomelo.KindOverload), ShouldBeTrue)
+			convey.So(pomelo.IsKind(err, pomelo.KindOverload), convey.ShouldBeTrue)
 		})
-		Convey("lets the more important one wait where the less important one is refused", func() {
+		convey.Convey("lets the more important one wait where the less important one is refused", func() {
 			for i := range 8 {
 				enter(q, call(fmt.Sprint("waiting", i), 4, 0), out)
 			}
 			less, more := call("less", 1, 0), call("more", 8, 0)
 			less.Aim, more.Aim = 6_000, 6_000
 			_, err := q.Enter(context.Background(), less)
-			So(pomelo.IsKind(err, pomelo.KindOverload), ShouldBeTrue)
+			convey.So(pomelo.IsKind(err, pomelo.KindOverload), convey.ShouldBeTrue)
 			enter(q, more, out)
 			_, waiting, _ := q.Load()
-			So(waiting, ShouldEqual, 9)
+			convey.So(waiting, convey.ShouldEqual, 9)
 		})
-		Convey("gives the place of a caller that leaves to nobody else twice", func() {
+		convey.Convey("gives the place of a caller that leaves to nobody else twice", func() {
 			ctx, cancel := context.WithCancel(context.Background())
 			done := make(chan error, 1)
 			go func() {
@@ -130,20 +130,20 @@
 				}
 			}
 			cancel()
-			So(pomelo.IsKind(<-done, pomelo.KindCanceled), ShouldBeTrue)
+			convey.So(pomelo.IsKind(<-done, pomelo.KindCanceled), convey.ShouldBeTrue)
 			running, waiting, _ := q.Load()
-			So(running, ShouldEqual, 2)
-			So(waiting, ShouldEqual, 0)
+			convey.So(running, convey.ShouldEqual, 2)
+			convey.So(waiting, convey.ShouldEqual, 0)
 		})
 	})
 
-	Convey("A queue starts with all slots that were announced, and refuses nothing while there is room", t, func() {
+	convey.Convey("A queue starts with all slots that were announced, and refuses nothing while there is room", t, func() {
 		q := queue.New(k, 1)
 		q.Announce(50, 0)
 		for i := range 50 {
 			_, err := q.Enter(context.Background(), call(fmt.Sprint(i), 0, 0))
-			So(err, ShouldBeNil)
+			convey.So(err, convey.ShouldBeNil)
 		}
-		So(q.Threshold(""), ShouldEqual, 0)
+		convey.So(q.Threshold(""), convey.ShouldEqual, 0)
 	})
 }
--- a/spool/spool_test.go
+++ b/spool/spool_test.go
@@ -11,7 +11,7 @@
 	"github.com/pomeloworks/pomelo"
 	"github.com/pomeloworks/pomelo/clock"
 	"github.com/pomeloworks/pomelo/spool"
-	. "github.com/smartystreets/goconvey/convey"
+	"github.com/smartystreets/goconvey/convey"
 )
 
 const lines = 5_000
@@ -21,7 +21,7 @@
 }
 
 func TestSpool(t *testing.T) {
-	Convey("A reader that has stopped holds nobody up, and memory stays bounded", t, func() {
+	convey.Convey("A reader that has stopped holds nobody up, and memory stays bounded", t, func() {
 		r, w := io.Pipe()
 		defer func() { _ = r.Close() }()
 		k := clock.New(clock.WithManual(1))
@@ -29,12 +29,12 @@
 		go s.Flush()
 		for n := range lines {
 			got, err := s.Write([]byte(line(n)))
-			So(err, ShouldBeNil)
-			So(got, ShouldEqual, len(line(n)))
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(got, convey.ShouldEqual, len(line(n)))
 		}
 	})
 
-	Convey("What is dropped is counted by event and said", t, func() {
+	convey.Convey("What is dropped is counted by event and said", t, func() {
 		var out bytes.Buffer
 		k := clock.New(clock.WithManual(pomelo.Millis(10_000)))
 		s := spool.New(&out, k, spool.WithBounds(1_000, 100, 200))
@@ -43,11 +43,11 @@
 		}
 		s.Flush()
 		kept := strings.Count(out.String(), "event=request_refused")
-		So(kept, ShouldBeGreaterThan, 0)
-		So(out.String(), ShouldContainSubstring, fmt.Sprintf("event=log_lines_dropped of=request_refused count=%d", lines-kept))
+		convey.So(kept, convey.ShouldBeGreaterThan, 0)
+		convey.So(out.String(), convey.ShouldContainSubstring, fmt.Sprintf("event=log_lines_dropped of=request_refused count=%d", lines-kept))
 	})
 
-	Convey("Lines within the bounds arrive whole and in order", t, func() {
+	convey.Convey("Lines within the bounds arrive whole and in order", t, func() {
 		var out bytes.Buffer
 		k := clock.New(clock.WithManual(1))
 		s := spool.New(&out, k)
@@ -60,6 +60,6 @@
 		cancel()
 		s.Run(ctx)
 		s.Flush()
-		So(out.String(), ShouldEqual, want.String())
+		convey.So(out.String(), convey.ShouldEqual, want.String())
 	})
 }
--- a/tenure/tenure_test.go
+++ b/tenure/tenure_test.go
@@ -7,7 +7,7 @@
 	"github.com/pomeloworks/pomelo"
 	"github.com/pomeloworks/pomelo/clock"
 	"github.com/pomeloworks/pomelo/tenure"
-	. "github.com/smartystreets/goconvey/convey"
+	"github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 )
 
@@ -50,7 +50,7 @@
 }
 
 func TestTenure(t *testing.T) {
-	Convey("One of two members", t, func() {
+	convey.Convey("One of two members", t, func() {
 		k := clock.New(clock.WithManual(100_000))
 		list := []pomelo.Member{record("a", 1), record("b", 2)}
 		a, b := newNode(k, "a"), newNode(k, "b")
@@ -61,39 +61,39 @@
 			a, b = b, a
 		}
 
-		Convey("holds a right once a holder before it must have stopped", func() {
-			So(a.tenure.Holds(right), ShouldBeFalse)
+		convey.Convey("holds a right once a holder before it must have stopped", func() {
+			convey.So(a.tenure.Holds(right), convey.ShouldBeFalse)
 			k.Advance(trust - 1)
-			So(a.tenure.Holds(right), ShouldBeFalse)
+			convey.So(a.tenure.Holds(right), convey.ShouldBeFalse)
 			a.proven = k.Steady()
 			k.Advance(2)
-			So(a.tenure.Holds(right), ShouldBeTrue)
-			So(b.tenure.Holds(right), ShouldBeFalse)
+			convey.So(a.tenure.Holds(right), convey.ShouldBeTrue)
+			convey.So(b.tenure.Holds(right), convey.ShouldBeFalse)
 		})
-		Convey("stops when its knowledge is too old, and goes on without a wait if nothing has changed", func() {
+		convey.Convey("stops when its knowledge is too old, and goes on without a wait if nothing has changed", func() {
 			k.Advance(trust)
 			a.proven = k.Steady()
 			k.Advance(trust)
-			So(a.tenure.Holds(right), ShouldBeTrue)
+			convey.So(a.tenure.Holds(right), convey.ShouldBeTrue)
 			since := a.tenure.Since(right)
 			k.Advance(1)
-			So(a.tenure.Since(right), ShouldEqual, 0)
+			convey.So(a.tenure.Since(right), convey.ShouldEqual, 0)
 			a.proven = k.Steady()
-			So(a.tenure.Since(right), ShouldEqual, since)
+			convey.So(a.tenure.Since(right), convey.ShouldEqual, since)
 		})
-		Convey("waits anew when its record lapsed unseen", func() {
+		convey.Convey("waits anew when its record lapsed unseen", func() {
 			k.Advance(2 * trust)
-			So(a.tenure.Holds(right), ShouldBeFalse)
+			convey.So(a.tenure.Holds(right), convey.ShouldBeFalse)
 			again := []pomelo.Member{record("a", 7), record("b", 8)}
 			a.read(again)
-			So(a.tenure.Holds(right), ShouldBeFalse)
+			convey.So(a.tenure.Holds(right), convey.ShouldBeFalse)
 			k.Advance(trust)
-			So(a.tenure.Holds(right), ShouldBeFalse)
+			convey.So(a.tenure.Holds(right), convey.ShouldBeFalse)
 			k.Advance(1)
 			a.proven = k.Steady()
-			So(a.tenure.Holds(right), ShouldBeTrue)
+			convey.So(a.tenure.Holds(right), convey.ShouldBeTrue)
 		})
-		Convey("keeps its time when a member joins that takes other rights", func() {
+		convey.Convey("keeps its time when a member joins that takes other rights", func() {
 			k.Advance(trust + 1)
 			a.proven = k.Steady()
 			since := a.tenure.Since(right)
@@ -102,19 +102,19 @@
 				with = append(with, record(fmt.Sprint("c", i), 9))
 				a.read(with)
 				if m, _ := a.tenure.Owner(right); m.VM == a.self.VM {
-					So(a.tenure.Since(right), ShouldEqual, since)
+					convey.So(a.tenure.Since(right), convey.ShouldEqual, since)
 					return
 				}
 				a.read(list)
 				since = a.tenure.Since(right)
 			}
 		})
-		Convey("takes over at once what the process before it held on the same VM", func() {
+		convey.Convey("takes over at once what the process before it held on the same VM", func() {
 			c := newNode(k, a.self.VM)
 			c.self.Incarnation = a.self.VM + "-2"
 			c.read(list)
 			k.Advance(1)
-			So(c.tenure.Holds(right), ShouldBeTrue)
+			convey.So(c.tenure.Holds(right), convey.ShouldBeTrue)
 		})
 	})
 }
--- a/uplink/link_test.go
+++ b/uplink/link_test.go
@@ -16,7 +16,7 @@
 	"github.com/pomeloworks/pomelo/clock"
 	"github.com/pomeloworks/pomelo/metric"
 	"github.com/pomeloworks/pomelo/uplink"
-	. "github.com/smartystreets/goconvey/convey"
+	"github.com/smartystreets/goconvey/convey"
 )
 
 // plain is a dialect with ids in the header X-Id.
@@ -199,42 +199,42 @@
 
 func TestConversations(t *testing.T) {
 	for _, v := range conversations {
-		Convey("An upstream that gives "+v.name, t, func() {
+		convey.Convey("An upstream that gives "+v.name, t, func() {
 			s := serve(t, v.serve)
 			l := uplink.New(plain{}, clock.New(), metric.New())
 			u := pomelo.Instance{Address: s.address}
 			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 			defer cancel()
 			a := l.Do(ctx, u, call("1", "order"))
-			So(a.Refusal == nil, ShouldEqual, v.whole)
+			convey.So(a.Refusal == nil, convey.ShouldEqual, v.whole)
 			if v.whole {
-				So(string(a.Body), ShouldEqual, v.body)
+				convey.So(string(a.Body), convey.ShouldEqual, v.body)
 			} else {
-				So(a.Refusal.Ran, ShouldEqual, v.ran)
-				So(a.Refusal.Kind, ShouldEqual, v.kind)
+				convey.So(a.Refusal.Ran, convey.ShouldEqual, v.ran)
+				convey.So(a.Refusal.Kind, convey.ShouldEqual, v.kind)
 			}
 			// Whatever came with the first call must not be taken for the second one's.
 			time.Sleep(30 * time.Millisecond)
 			ctx, cancel = context.WithTimeout(context.Background(), 300*time.Millisecond)
 			defer cancel()
 			b := l.Do(ctx, u, call("2", "order"))
-			So(b.Refusal == nil, ShouldEqual, v.whole)
-			So(s.conns.Load() == 1, ShouldEqual, v.reused)
+			convey.So(b.Refusal == nil, convey.ShouldEqual, v.whole)
+			convey.So(s.conns.Load() == 1, convey.ShouldEqual, v.reused)
 		})
 	}
 }
 
 func TestUnreachable(t *testing.T) {
-	Convey("A call to a closed port has not run", t, func() {
+	convey.Convey("A call to a closed port has not run", t, func() {
 		l := uplink.New(plain{}, clock.New(), metric.New())
 		a := l.Do(context.Background(), pomelo.Instance{Address: "127.0.0.1:1"}, call("1", ""))
-		So(a.Refusal.Ran, ShouldEqual, pomelo.RanNo)
-		So(a.Refusal.Kind, ShouldEqual, pomelo.KindNoUpstream)
+		convey.So(a.Refusal.Ran, convey.ShouldEqual, pomelo.RanNo)
+		convey.So(a.Refusal.Kind, convey.ShouldEqual, pomelo.KindNoUpstream)
 	})
 }
 
 func TestEarlyAnswer(t *testing.T) {
-	Convey("An answer before the body is read ends the use of its connection, so that no byte of the rest can be taken for a request", t, func() {
+	convey.Convey("An answer before the body is read ends the use of its connection, so that no byte of the rest can be taken for a request", t, func() {
 		s := serve(t, func(c net.Conn, r *bufio.Reader, _ int) {
 			q, err := http.ReadRequest(r)
 			if err != nil {
@@ -247,14 +247,14 @@
 		big := strings.Repeat("x", 16<<20)
 		for i, id := range []string{"1", "2"} {
 			a := l.Do(context.Background(), pomelo.Instance{Address: s.address}, call(id, big))
-			So(a.Refusal, ShouldBeNil)
-			So(s.conns.Load(), ShouldEqual, i+1)
+			convey.So(a.Refusal, convey.ShouldBeNil)
+			convey.So(s.conns.Load(), convey.ShouldEqual, i+1)
 		}
 	})
 }
 
 func TestCancel(t *testing.T) {
-	Convey("A caller that leaves has the upstream's connection closed at once", t, func() {
+	convey.Convey("A caller that leaves has the upstream's connection closed at once", t, func() {
 		closed := make(chan error, 1)
 		s := serve(t, func(_ net.Conn, r *bufio.Reader, _ int) {
 			head(r)
@@ -265,8 +265,8 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		time.AfterFunc(30*time.Millisecond, cancel)
 		a := l.Do(ctx, pomelo.Instance{Address: s.address}, call("1", ""))
-		So(a.Refusal.Kind, ShouldEqual, pomelo.KindCanceled)
-		So(a.Refusal.Ran, ShouldEqual, pomelo.RanUnknown)
-		So(errors.Is(<-closed, io.EOF), ShouldBeTrue)
+		convey.So(a.Refusal.Kind, convey.ShouldEqual, pomelo.KindCanceled)
+		convey.So(a.Refusal.Ran, convey.ShouldEqual, pomelo.RanUnknown)
+		convey.So(errors.Is(<-closed, io.EOF), convey.ShouldBeTrue)
 	})
 }
--- a/view/view_test.go
+++ b/view/view_test.go
@@ -11,7 +11,7 @@
 	"github.com/pomeloworks/pomelo/logs"
 	"github.com/pomeloworks/pomelo/metric"
 	"github.com/pomeloworks/pomelo/view"
-	. "github.com/smartystreets/goconvey/convey"
+	"github.com/smartystreets/goconvey/convey"
 )
 
 const patience = 5 * time.Second
@@ -42,13 +42,13 @@
 }
 
 func TestProof(t *testing.T) {
-	Convey("What a node tells a peer of its knowledge is never younger than its own read", t, func() {
+	convey.Convey("What a node tells a peer of its knowledge is never younger than its own read", t, func() {
 		k := clock.New(clock.WithManual(50_000))
 		self := func() pomelo.Member { return pomelo.Member{VM: "a"} }
 		s := records{policy: pomelo.Record{Key: "policy", Value: []byte{3}, Revision: 5}}
 		v := view.New(s, k, logs.New(io.Discard), "policy", parse, self, view.WithPeers(nil, metric.New()))
 		_, err := v.Answer(context.Background(), pomelo.Member{}, nil)
-		So(pomelo.IsKind(err, pomelo.KindNoStanding), ShouldBeTrue)
+		convey.So(pomelo.IsKind(err, pomelo.KindNoStanding), convey.ShouldBeTrue)
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		go v.Run(ctx)
@@ -61,12 +61,12 @@
 		cancel()
 		k.Advance(400)
 		r, err := v.Answer(context.Background(), pomelo.Member{}, nil)
-		So(err, ShouldBeNil)
+		convey.So(err, convey.ShouldBeNil)
 		p := r.(view.Proof)
-		So(p.Version, ShouldEqual, 3)
-		So(p.Watched, ShouldEqual, 5)
-		So(p.Age, ShouldBeGreaterThanOrEqualTo, 400)
-		So(p.MembersAge, ShouldBeGreaterThanOrEqualTo, 400)
-		So(v.Age(), ShouldEqual, p.Age)
+		convey.So(p.Version, convey.ShouldEqual, 3)
+		convey.So(p.Watched, convey.ShouldEqual, 5)
+		convey.So(p.Age, convey.ShouldBeGreaterThanOrEqualTo, 400)
+		convey.So(p.MembersAge, convey.ShouldBeGreaterThanOrEqualTo, 400)
+		convey.So(v.Age(), convey.ShouldEqual, p.Age)
 	})
 }
