--- a/place/placer.go
+++ b/place/placer.go
@@ -139,18 +139,19 @@
 	p.state(now, m).sent()
 }
 
-// Done learns from the answer, which says itself how long the upstream worked on it.
-func (p *Placer) Done(m pomelo.Member, c pomelo.Call, _ pomelo.Millis, a pomelo.Answer) {
+// Done learns from the answer; one that did not come in took milliseconds shows at least how slow the member is.
+func (p *Placer) Done(m pomelo.Member, c pomelo.Call, took pomelo.Millis, a pomelo.Answer) {
 	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.state(now, m)
 	s.ended(now, a)
+	r := p.route(c.RouteName)
 	if a.Refusal != nil {
 		s.refused(now, a.Refusal, p.random.Float64())
+		s.unanswered(now, a.Refusal, float64(took), r.run)
 		return
 	}
-	r := p.route(c.RouteName)
 	s.answered(now, float64(a.Own), r.run, a.Status)
 	r.run += runWeight * (float64(a.Own) - r.run)
 	r.answer += sizeWeight * (float64(len(a.Body))/bytesPerKB - r.answer)
--- a/place/placer_test.go
+++ b/place/placer_test.go
@@ -83,6 +83,32 @@
 				return like(100, 0.3)
 			}), convey.ShouldBeGreaterThan, 0.9)
 		})
+		convey.Convey("leaves a member on which most calls are given up, though none is answered late", func() {
+			for range 100 {
+				p.Sent(far)
+				p.Done(far, small, 60, like(50, 0.3))
+			}
+			got := 0
+			for i := range 200 {
+				to, _ := p.Pick(small, []pomelo.Member{near, far}, nil)
+				p.Sent(to)
+				if to.VM == "far" {
+					p.Done(far, small, 60, like(50, 0.3))
+					continue
+				}
+				if i%3 == 0 {
+					p.Done(near, small, 60, like(60, 0.3))
+					continue
+				}
+				f := pomelo.NewFault(pomelo.KindCanceled, "given up", "later")
+				f.Ran = pomelo.RanUnknown
+				p.Done(near, small, 500, pomelo.Refuse("1", f))
+				if i >= 100 {
+					got++
+				}
+			}
+			convey.So(got, convey.ShouldBeLessThan, 20)
+		})
 		convey.Convey("leaves a member that can't be reached alone for a while, and one that leaves for good", func() {
 			p.Sent(near)
 			p.Done(near, small, 1, pomelo.Refuse("1", pomelo.NewFault(pomelo.KindPeerLost, "lost", "later")))
--- a/place/state.go
+++ b/place/state.go
@@ -83,15 +83,33 @@
 		failed = brokenShare
 	}
 	s.fail(now, failed)
-	if mean > 0 && failed == 0 {
-		ratio := min(max(own/mean, leastSpeed), mostSpeed)
-		s.samples++
-		idle := min(float64(now-s.sampledAt)/sampleAge, 1)
-		s.slow += max(speedWeight, 1/float64(s.samples), idle*rareWeight) * (ratio - s.slow)
-		s.sampledAt = now
+	if failed == 0 {
+		s.learn(now, own, mean)
 	}
 }
 
+// unanswered takes a call that was given up, or ran out of time, later than it should have been answered.
+func (s *state) unanswered(now pomelo.Millis, f *pomelo.Fault, took, mean float64) {
+	if f.Kind != pomelo.KindCanceled && f.Kind != pomelo.KindDeadline {
+		return
+	}
+	if f.Ran != pomelo.RanNo && took > mean*s.slow {
+		s.learn(now, took, mean)
+	}
+}
+
+// learn moves the member's slowness towards a call's time by the mean of its like.
+func (s *state) learn(now pomelo.Millis, took, mean float64) {
+	if mean <= 0 {
+		return
+	}
+	ratio := min(max(took/mean, leastSpeed), mostSpeed)
+	s.samples++
+	idle := min(float64(now-s.sampledAt)/sampleAge, 1)
+	s.slow += max(speedWeight, 1/float64(s.samples), idle*rareWeight) * (ratio - s.slow)
+	s.sampledAt = now
+}
+
 func (s *state) refused(now pomelo.Millis, f *pomelo.Fault, random float64) {
 	switch f.Kind {
 	case pomelo.KindDraining:
