--- a/inlet/conn.go
+++ b/inlet/conn.go
@@ -154,7 +154,10 @@
 	c.slots <- s
 	go func() {
 		stack.Grow()
-		s.reply <- c.server.handler(c.ctx, r, body)
+		ctx, cancel := context.WithCancel(c.ctx)
+		defer cancel()
+		defer context.AfterFunc(c.server.run, cancel)()
+		s.reply <- c.server.handler(ctx, r, body)
 	}()
 }
 
--- a/inlet/conn_test.go
+++ b/inlet/conn_test.go
@@ -156,6 +156,29 @@
 	})
 }
 
+func TestAbort(t *testing.T) {
+	convey.Convey("A request that is given up at the end of a stop still gets its answer", t, func() {
+		running := make(chan struct{})
+		h := func(ctx context.Context, _ *http.Request, _ []byte) pomelo.Reply {
+			close(running)
+			<-ctx.Done()
+			return pomelo.Reply{Status: http.StatusGatewayTimeout}
+		}
+		s := start(t, h, pomelo.TrafficLimits{})
+		c, r := dial(s)
+		defer func() { _ = c.Close() }()
+		_, _ = io.WriteString(c, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+		<-running
+		s.Drain()
+		s.Close()
+		s.Abort()
+		resp, err := http.ReadResponse(r, nil)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(resp.StatusCode, convey.ShouldEqual, http.StatusGatewayTimeout)
+		convey.So(resp.Close, convey.ShouldBeTrue)
+	})
+}
+
 // FuzzRequests has any bytes sent to a connection; the server must stay able to answer others.
 func FuzzRequests(f *testing.F) {
 	for _, v := range refusals {
--- a/inlet/server.go
+++ b/inlet/server.go
@@ -21,7 +21,7 @@
 	acceptPause = pomelo.Millis(20)
 )
 
-// Handler answers one request; the context ends when the caller's connection does.
+// Handler answers one request; the context ends when the caller's connection does, and when the server gives requests up.
 type Handler func(ctx context.Context, r *http.Request, body []byte) pomelo.Reply
 
 // Server accepts callers' connections.
@@ -34,6 +34,9 @@
 	listener net.Listener
 	mu       sync.Mutex
 	conns    map[*conn]bool
+	// run ends when requests under way are to be given up.
+	run      context.Context
+	stop     context.CancelFunc
 	pending  atomic.Int64
 	draining atomic.Bool
 }
@@ -41,6 +44,7 @@
 // New returns a server; limits are asked for at each request.
 func New(clock pomelo.Clock, log pomelo.Logger, metrics pomelo.Metrics, handler Handler, limits func() pomelo.TrafficLimits, opts ...func(*Server)) *Server {
 	s := &Server{clock: clock, log: log, metrics: metrics, handler: handler, limits: limits, conns: map[*conn]bool{}}
+	s.run, s.stop = context.WithCancel(context.Background())
 	for _, o := range opts {
 		o(s)
 	}
@@ -86,6 +90,11 @@
 	}
 }
 
+// Abort has the requests under way given up: their handlers' contexts end, and what they answer is still delivered.
+func (s *Server) Abort() {
+	s.stop()
+}
+
 func (s *Server) accept() {
 	for {
 		c, err := s.listener.Accept()
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -19,8 +19,10 @@
 	headTimeout = pomelo.Millis(3_000)
 	// settleFor is how long a stopping node still takes requests: the platform asks for readiness once a second and takes a node out after two misses.
 	settleFor = pomelo.Millis(2_200)
+	// abortMargin before the end of the grace time, what still waits is given up; it lies within the grace time's last sixth.
+	abortMargin = pomelo.Millis(950)
 	// exitMargin is kept of the grace time for the end of the process.
-	exitMargin = pomelo.Millis(700)
+	exitMargin = pomelo.Millis(500)
 	stopPoll   = pomelo.Millis(20)
 	// loadEvery is the pause between two lines on waiting calls.
 	loadEvery = pomelo.Millis(1_000)
@@ -175,6 +177,9 @@
 		if n.parts.Worker.Running()+n.parts.Inlet.Pending() == 0 {
 			break
 		}
+		if n.parts.Clock.Steady()-began >= n.settings.DrainGrace-abortMargin {
+			n.parts.Inlet.Abort()
+		}
 	}
 	n.close()
 	n.parts.Log.Info("node_stopped", "running", n.parts.Worker.Running(), "pending", n.parts.Inlet.Pending(), "took_ms", n.parts.Clock.Steady()-began)
