--- a/uplink/link_test.go
+++ b/uplink/link_test.go
@@ -110,6 +110,13 @@
 		},
 		body: "ok", whole: true, reused: true,
 	},
+	{
+		name: "a whole answer, and closes its connection behind it without a word",
+		serve: func(c net.Conn, r *bufio.Reader, _ int) {
+			_, _ = io.WriteString(c, answer(head(r), "ok"))
+		},
+		body: "ok", whole: true,
+	},
 	{
 		name: "an answer to another call first",
 		serve: func(c net.Conn, r *bufio.Reader, _ int) {
