--- a/mesh/path_test.go
+++ b/mesh/path_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -16,6 +15,7 @@
 	"time"
 
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/membuf"
 	"github.com/pomeloworks/pomelo/mesh"
 	"github.com/pomeloworks/pomelo/metric"
 	"github.com/pomeloworks/pomelo/platform"
@@ -45,7 +45,7 @@
 	node     *mesh.Node
 	settings pomelo.HostSettings
 	upstream *upstream
-	log      *bytes.Buffer
+	log      *membuf.Buffer
 }
 
 // upstream is a stand-in that echoes ids and says who asked.
@@ -118,8 +118,8 @@
 		Control:     func(a mesh.Upstreams, log pomelo.Logger) http.Handler { return platform.Control(a, log) },
 		Ready:       platform.Ready,
 	}
-	m := &member{settings: settings, upstream: u, log: &bytes.Buffer{}}
-	n, err := mesh.New(settings, host, mesh.WithOutput(io.Discard))
+	m := &member{settings: settings, upstream: u, log: &membuf.Buffer{}}
+	n, err := mesh.New(settings, host, mesh.WithOutput(m.log))
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -247,6 +247,24 @@
 	})
 }
 
+func TestLog(t *testing.T) {
+	convey.Convey("A failed request is found by its id, and no key is ever in a line", t, func() {
+		f := newFleet(t, 1)
+		f.settle()
+		a := f.nodes[0]
+		_, _ = a.ask("GET", "/c/x", "lost-1", "")
+		f.store.Put(platform.KeyPolicy, fmt.Appendf(nil, policyText, 2, "other"))
+		convey.So(until(func() bool { s, _ := a.ask("GET", "/a/x", "gone-1", ""); return s == http.StatusUnauthorized }), convey.ShouldBeTrue)
+		convey.So(until(func() bool {
+			return strings.Contains(a.log.String(), "request=lost-1") && strings.Contains(a.log.String(), "request=gone-1")
+		}), convey.ShouldBeTrue)
+		for _, event := range []string{"node_started", "policy_adopted", "announced", "upstream_changed", "request_refused"} {
+			convey.So(a.log.String(), convey.ShouldContainSubstring, "event="+event+" ")
+		}
+		convey.So(a.log.String(), convey.ShouldNotContainSubstring, key)
+	})
+}
+
 // BenchmarkPath measures a call through two nodes.
 func BenchmarkPath(b *testing.B) {
 	convey.Convey("a settled fleet", b, func() {
