--- a/mesh/node.go
+++ b/mesh/node.go
@@ -69,7 +69,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
-	n.parts.View.OnChange(sync.OnceFunc(n.resume))
+	n.parts.View.OnChange(func() {}, sync.OnceFunc(n.resume))
 	go n.parts.Spool.Run(ctx)
 	go n.watchLoad(ctx)
 	go n.parts.View.Run(ctx)
--- a/mesh/parts.go
+++ b/mesh/parts.go
@@ -115,7 +115,7 @@
 
 func newTenure(v *view.View, c boot) *tenure.Tenure {
 	t := tenure.New(v, c)
-	v.OnChange(t.Change)
+	v.OnChange(t.Change, t.Relisted)
 	return t
 }
 
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -34,8 +34,6 @@
 	epochs []epoch
 	// held caches since when this node has held a right, for the newest list.
 	held map[string]pomelo.Millis
-	// stale is set while the list may have changed unseen.
-	stale bool
 	// fresh is when the list was last known to hold.
 	fresh pomelo.Millis
 }
@@ -57,19 +55,26 @@
 	return t
 }
 
-// Change takes in a new list of members; rights that stay with this node keep their time.
+// Change takes in a new list of members; each change of the store's list has to come through here, in its order.
 func (t *Tenure) Change() {
+	t.take(false)
+}
+
+// Relisted takes in a list before which changes may have gone unseen. A record lives longer than trustFor: only in a longer gap can another member have come and gone, and a lapse of this node's own record shows.
+func (t *Tenure) Relisted() {
+	t.take(true)
+}
+
+func (t *Tenure) take(relisted bool) {
 	list := t.members.Current()
 	self := t.members.Self()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Steady()
-	t.stale = t.stale || now-t.fresh > trustFor
 	switch {
 	case len(t.epochs) == 0:
 		t.epochs = []epoch{{list: list, at: begin(list, self, now)}}
-	case t.stale && lapsed(t.list(), list, self.VM):
-		// This node's rights may have gone to others and come back unseen.
+	case relisted && (now-t.fresh > trustFor || rewritten(t.list(), list, self.VM)):
 		t.epochs = []epoch{{list: list, at: now}}
 	case owners(t.list(), list):
 		t.epochs[len(t.epochs)-1].list = list
@@ -80,8 +85,6 @@
 		t.epochs = t.epochs[1:]
 	}
 	clear(t.held)
-	t.stale = false
-	t.fresh = now
 }
 
 // begin is since when this node holds its rights at its first list; what the process before held on this VM goes on, if its record shows that nobody else can have held it since.
@@ -138,12 +141,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if age > trustFor {
-		t.stale = true
 		return 0, false
 	}
-	// Every change comes through Change before the list counts as proven again.
-	t.stale = false
-	t.fresh = t.clock.Steady()
+	t.fresh = max(t.fresh, t.clock.Steady()-age)
 	since, ok := t.held[right]
 	if !ok {
 		since = t.sinceOf(right, self)
@@ -165,8 +165,8 @@
 	return since
 }
 
-// lapsed reports whether the VM's record in the second list is not the one in the first.
-func lapsed(a, b []pomelo.Member, vm string) bool {
+// rewritten reports whether the VM's record in the second list is not the one in the first.
+func rewritten(a, b []pomelo.Member, vm string) bool {
 	of := func(m pomelo.Member) bool { return m.VM == vm }
 	i := slices.IndexFunc(a, of)
 	j := slices.IndexFunc(b, of)
--- a/view/view.go
+++ b/view/view.go
@@ -49,6 +49,7 @@
 	lagging  lag
 	restart  context.CancelFunc
 	notify   []func()
+	relisted []func()
 	roll     atomic.Pointer[roll]
 	peers    pomelo.Peers
 	metrics  pomelo.Metrics
@@ -97,9 +98,10 @@
 	}
 }
 
-// OnChange has f called after each change of the members; it must be set before Run.
-func (v *View) OnChange(f func()) {
-	v.notify = append(v.notify, f)
+// OnChange has change called after each change of the members, in its order, and relisted after each new list, before which changes may have gone unseen; it must be called before Run.
+func (v *View) OnChange(change, relisted func()) {
+	v.notify = append(v.notify, change)
+	v.relisted = append(v.relisted, relisted)
 }
 
 // Listed is closed once the members have been read and OnChange's functions have been called for the first time.
@@ -231,7 +233,10 @@
 	v.log.Info("members_listed", "count", len(l.Records), "revision", l.Revision)
 	first := false
 	v.once.Do(func() { first = true })
-	v.changed(changed || first)
+	v.changed(changed || first, nil)
+	for _, f := range v.relisted {
+		f()
+	}
 	if first {
 		close(v.listed)
 	}
@@ -271,17 +276,16 @@
 
 func (v *View) apply(l pomelo.Listing) {
 	now := v.clock.Steady()
-	changed := false
 	for _, r := range l.Records {
 		if r.Key == v.policyKey {
 			v.adopt(r, "watch")
 			continue
 		}
 		if strings.HasPrefix(r.Key, pomelo.PrefixMember) {
-			changed = v.take(r, now) || changed
+			// Each change is told by itself: a member that came and went must not go unseen.
+			v.changed(v.take(r, now), v.notify)
 		}
 	}
-	v.changed(changed)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.reached(l.Revision)
@@ -298,14 +302,14 @@
 	return ok && v.members.set(m, now)
 }
 
-func (v *View) changed(yes bool) {
+func (v *View) changed(yes bool, tell []func()) {
 	if !yes {
 		return
 	}
 	v.mu.Lock()
 	v.roll.Store(newRoll(v.members.usable()))
 	v.mu.Unlock()
-	for _, f := range v.notify {
+	for _, f := range tell {
 		f()
 	}
 }
