--- a/queue/queue.go
+++ b/queue/queue.go
@@ -198,7 +198,6 @@
 func (q *Queue) run(t *ticket) {
 	q.running++
 	q.cutoff.Served(t.rank.Importance)
-	t.entered = true
 	t.decide(nil)
 }
 
--- a/queue/ticket.go
+++ b/queue/ticket.go
@@ -13,7 +13,6 @@
 	run     pomelo.Millis
 	number  uint64
 	verdict chan *pomelo.Fault
-	entered bool
 	done    bool
 }
 
--- a/uplink/conn.go
+++ b/uplink/conn.go
@@ -16,7 +16,6 @@
 	reader *bufio.Reader
 	// until is when the upstream may close the connection as idle.
 	until pomelo.Millis
-	used  bool
 }
 
 func newConn(c net.Conn) *conn {
--- a/uplink/link.go
+++ b/uplink/link.go
@@ -123,7 +123,6 @@
 	if resp.Close || e.stray || e.conn.reader.Buffered() > 0 {
 		return false
 	}
-	e.conn.used = true
 	e.conn.until = e.link.clock.Now() + idleOf(resp.Header)
 	return true
 }
--- a/view/members.go
+++ b/view/members.go
@@ -30,7 +30,7 @@
 }
 
 // set reports whether anything changed.
-func (s *members) set(m pomelo.Member, _ pomelo.Millis) bool {
+func (s *members) set(m pomelo.Member) bool {
 	delete(s.lapsed, m.VM)
 	if s.current[m.VM] == m {
 		return false
@@ -57,7 +57,7 @@
 	here := map[string]bool{}
 	for _, m := range all {
 		here[m.VM] = true
-		changed = s.set(m, now) || changed
+		changed = s.set(m) || changed
 	}
 	for vm := range s.current {
 		if !here[vm] {
--- a/view/view.go
+++ b/view/view.go
@@ -299,7 +299,7 @@
 		return v.members.lapse(vm, now)
 	}
 	m, ok := decode(r, v.log)
-	return ok && v.members.set(m, now)
+	return ok && v.members.set(m)
 }
 
 func (v *View) changed(yes bool, tell []func()) {
--- a/worker/state.go
+++ b/worker/state.go
@@ -6,7 +6,6 @@
 type state struct {
 	instance pomelo.Instance
 	known    bool
-	heard    pomelo.Millis
 }
 
 // outdates reports whether i says something newer than what is known.
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -53,7 +53,7 @@
 		return
 	}
 	before := w.state
-	w.state = state{instance: i, known: true, heard: w.clock.Now()}
+	w.state = state{instance: i, known: true}
 	fresh := !before.known || describes(before.instance) != describes(i)
 	w.mu.Unlock()
 	if !fresh {
@@ -71,7 +71,7 @@
 		w.mu.Unlock()
 		return
 	}
-	w.state = state{instance: i, known: true, heard: w.clock.Now()}
+	w.state = state{instance: i, known: true}
 	w.mu.Unlock()
 	w.log.Info("upstream_resumed", "upstream", i.ID, "service", i.Service, "born", i.Born, "slots", i.Slots)
 	w.gate.Announce(i.Slots, 0)
