--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -11,6 +11,9 @@
 // trustFor is how old, in milliseconds, the knowledge of the members may be for a holder to act on it; a new holder waits as long.
 const trustFor = pomelo.Millis(2_000)
 
+// unseenFor is how long, in milliseconds, changes may go unseen: less than a member's lease of 4 s, by the time that its first write may take.
+const unseenFor = pomelo.Millis(3_500)
+
 // epochsMost bounds the lists that are kept; a right held through all of them counts from the oldest.
 const epochsMost = 16
 
@@ -60,7 +63,7 @@
 	t.take(false)
 }
 
-// Relisted takes in a list before which changes may have gone unseen. A record lives longer than trustFor: only in a longer gap can another member have come and gone, and a lapse of this node's own record shows.
+// Relisted takes in a list before which changes may have gone unseen. A record lives longer than unseenFor: only in a longer gap can another member have come and gone, and a lapse of this node's own record shows.
 func (t *Tenure) Relisted() {
 	t.take(true)
 }
@@ -74,7 +77,7 @@
 	switch {
 	case len(t.epochs) == 0:
 		t.epochs = []epoch{{list: list, at: begin(list, self, now)}}
-	case relisted && (now-t.fresh > trustFor || rewritten(t.list(), list, self.VM)):
+	case relisted && (now-t.fresh > unseenFor || rewritten(t.list(), list, self.VM)):
 		t.epochs = []epoch{{list: list, at: now}}
 	case owners(t.list(), list):
 		t.epochs[len(t.epochs)-1].list = list
