--- a/tenure/tenure_test.go
+++ b/tenure/tenure_test.go
@@ -260,3 +260,29 @@
 	m, ok := n.tenure.Owner(right)
 	return m.VM, ok
 }
+
+func TestOwnLapse(t *testing.T) {
+	convey.Convey("A member whose own record lapsed and came back between two lists waits anew, however short the time", t, func() {
+		w := newWorld()
+		c := w.nodes[2]
+		right := ""
+		for i := range 100 {
+			if m, _ := firstOwner(w.history[len(w.history)-1], fmt.Sprint("right-", i)); m == "c" {
+				right = fmt.Sprint("right-", i)
+				break
+			}
+		}
+		w.relist(c)
+		w.clock.Advance(lease)
+		w.relist(c)
+		w.clock.Advance(trust + 1)
+		w.relist(c)
+		convey.So(c.tenure.Holds(right), convey.ShouldBeTrue)
+		w.lapse("c")
+		w.clock.Advance(500)
+		w.write("c")
+		w.clock.Advance(500)
+		w.relist(c)
+		convey.So(c.tenure.Holds(right), convey.ShouldBeFalse)
+	})
+}
