--- a/tenure/tenure_test.go
+++ b/tenure/tenure_test.go
@@ -260,3 +260,30 @@
 	m, ok := n.tenure.Owner(right)
 	return m.VM, ok
 }
+
+func TestOwnLapse(t *testing.T) {
+	convey.Convey("A member whose own record lapsed and came back between two lists waits anew, however short the time", t, func() {
+		w := newWorld()
+		c := w.nodes[2]
+		right := ""
+		for i := range 100 {
+			if m, _ := firstOwner(w.history[len(w.history)-1], fmt.Sprint("right-", i)); m == "c" {
+				right = fmt.Sprint("right-", i)
+				break
+			}
+		}
+		held := false
+		for range 5 {
+			w.relist(c)
+			held = c.tenure.Holds(right)
+			w.clock.Advance(lease / 4)
+		}
+		convey.So(held, convey.ShouldBeTrue)
+		w.lapse("c")
+		w.clock.Advance(500)
+		w.write("c")
+		w.clock.Advance(500)
+		w.relist(c)
+		convey.So(c.tenure.Holds(right), convey.ShouldBeFalse)
+	})
+}
