Rights by terms: a holder stops before its record says so, and the next one need not wait

Cause: a right whose owner changed had no holder for 2 s after each change, also where the owner before had said itself that it leaves, or its record had lapsed. A process that restarted went on with rights by the record of the one before it though that one might still have been waiting, or its record might lapse before the new one was written.

A member's record now carries a term, which goes up whenever the process gives its rights up: when it drains, and when its lease has lapsed. Rights count by process and term, a holder stops before its own lease can lapse, and a member notes in its record when nobody else can act on its rights any more. So the next owner waits only for a holder that is still listed.

Ruled out: resuming by the record of the process before alone (TestExclusive with restarts found two holders: that record lapsed before the new lease was taken).

--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pomeloworks/pomelo"
 )
@@ -33,6 +34,10 @@
 	revision pomelo.Revision
 	known    bool
 	renewed  pomelo.Millis
+	granted  bool
+
+	// until is when, by the steady time, the lease may lapse.
+	until atomic.Int64
 }
 
 // New returns a beacon of the member; nothing is written before Run.
@@ -122,7 +127,7 @@
 	if b.id != 0 {
 		err := b.store.Renew(ctx, b.id)
 		if err == nil {
-			b.renewed = now
+			b.leasedFrom(now)
 			return nil
 		}
 		if !pomelo.IsKind(err, pomelo.KindLeaseLapsed) {
@@ -136,12 +141,28 @@
 	if err != nil {
 		return err
 	}
+	if b.granted {
+		// Rights under the lapsed lease may have gone to others.
+		b.Describe(func(m *pomelo.Member) { m.Resign() })
+	}
+	b.granted = true
 	b.id = id
-	b.renewed = now
+	b.leasedFrom(now)
 	b.revision = 0
 	return nil
 }
 
+// leasedFrom notes a renewal that was sent at this time.
+func (b *Beacon) leasedFrom(now pomelo.Millis) {
+	b.renewed = now
+	b.until.Store(int64(now + b.lease))
+}
+
+// LeasedUntil is until when, by the steady time, the store keeps the record at least.
+func (b *Beacon) LeasedUntil() pomelo.Millis {
+	return pomelo.Millis(b.until.Load())
+}
+
 // write replaces whatever stands under this VM's name: it is of an earlier process or of an earlier lease.
 func (b *Beacon) write(ctx context.Context, m pomelo.Member) error {
 	value, err := json.Marshal(m)
--- a/member.go
+++ b/member.go
@@ -10,13 +10,30 @@
 	Service          string `json:"service,omitempty"`
 	Slots            int    `json:"slots,omitempty"`
 	Connections      int    `json:"connections,omitempty"`
-	Draining         bool   `json:"draining,omitempty"`
+	// Draining members take no new calls and hold no rights.
+	Draining bool `json:"draining,omitempty"`
+	// Term counts how often this process has given its rights up.
+	Term int64 `json:"term,omitempty"`
+	// Settled says that no other process can still act on the rights that this one has by the list, so that its successor on the VM may go on with them.
+	Settled bool `json:"settled,omitempty"`
 	// UpstreamID, UpstreamAddress and UpstreamBorn let a node that restarts go on with the upstream that it knew.
 	UpstreamID      string `json:"upstream_id,omitempty"`
 	UpstreamAddress string `json:"upstream_address,omitempty"`
 	UpstreamBorn    Millis `json:"upstream_born_ms,omitempty"`
-	// Revision is that of the record's last write, as the store tells it.
-	Revision Revision `json:"-"`
+}
+
+// SetDraining marks the member as leaving or takes that back; one that leaves gives its rights up.
+func (m *Member) SetDraining(draining bool) {
+	if draining && !m.Draining {
+		m.Resign()
+	}
+	m.Draining = draining
+}
+
+// Resign gives up all rights of the member's present term.
+func (m *Member) Resign() {
+	m.Term++
+	m.Settled = false
 }
 
 // Upstream is what an upstream announces to the node beside it; Address is its loopback host and port.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -24,6 +24,8 @@
 	// exitMargin is kept of the grace time for the end of the process.
 	exitMargin = pomelo.Millis(500)
 	stopPoll   = pomelo.Millis(20)
+	// settlePoll is the pause between two looks at whether the rights are settled.
+	settlePoll = pomelo.Millis(500)
 	// loadEvery is the pause between two lines on waiting calls.
 	loadEvery = pomelo.Millis(1_000)
 )
@@ -72,6 +74,7 @@
 	n.parts.View.OnChange(func() {}, sync.OnceFunc(n.resume))
 	go n.parts.Spool.Run(ctx)
 	go n.watchLoad(ctx)
+	go n.settle(ctx)
 	go n.parts.View.Run(ctx)
 	go n.parts.Rates.Run(ctx)
 	go n.parts.Fence.Run(ctx)
@@ -96,6 +99,9 @@
 		if m.VM != self.VM || m.Incarnation == self.Incarnation || m.UpstreamID == "" {
 			continue
 		}
+		if m.Settled {
+			n.parts.Beacon.Describe(func(x *pomelo.Member) { x.Settled = !x.Draining })
+		}
 		n.parts.Worker.Resume(pomelo.Instance{
 			ID:      m.UpstreamID,
 			Service: m.Service,
@@ -147,6 +153,11 @@
 	return ok && !n.stopping.Load()
 }
 
+// Members tells which nodes this one knows.
+func (n *Node) Members() pomelo.Membership {
+	return n.parts.View
+}
+
 // Reload takes in settings that have been read anew; unusable ones are passed over, and a running process keeps its addresses.
 func (n *Node) Reload(s pomelo.HostSettings, err error) {
 	if err != nil {
@@ -162,7 +173,7 @@
 	n.stopping.Store(true)
 	n.parts.Log.Info("node_stopping", "running", n.parts.Worker.Running(), "pending", n.parts.Inlet.Pending())
 	n.parts.Inlet.Drain()
-	n.parts.Beacon.Describe(func(m *pomelo.Member) { m.Draining = true })
+	n.parts.Beacon.Describe(func(m *pomelo.Member) { m.SetDraining(true) })
 	closed := false
 	for n.parts.Clock.Steady()-began < n.settings.DrainGrace-exitMargin {
 		_ = n.parts.Clock.Sleep(context.Background(), stopPoll)
@@ -202,6 +213,16 @@
 	n.parts.Listen.Close()
 }
 
+// settle notes in the record when the process after this one may go on with its rights.
+func (n *Node) settle(ctx context.Context) {
+	for n.parts.Clock.Sleep(ctx, settlePoll) == nil {
+		if m := n.parts.Beacon.Member(); m.Settled || m.Draining || !n.parts.Tenure.Rested() {
+			continue
+		}
+		n.parts.Beacon.Describe(func(m *pomelo.Member) { m.Settled = !m.Draining })
+	}
+}
+
 // watchLoad writes a line each second in which calls had to wait.
 func (n *Node) watchLoad(ctx context.Context) {
 	for n.parts.Clock.Sleep(ctx, loadEvery) == nil {
--- a/mesh/parts.go
+++ b/mesh/parts.go
@@ -113,8 +113,8 @@
 	return view.New(n.host.Store, c, log, n.host.PolicyKey, n.host.ParsePolicy, b.Member, view.WithPeers(d, m))
 }
 
-func newTenure(v *view.View, c boot) *tenure.Tenure {
-	t := tenure.New(v, c)
+func newTenure(v *view.View, b *beacon.Beacon, c boot) *tenure.Tenure {
+	t := tenure.New(v, c, b.LeasedUntil)
 	v.OnChange(t.Change, t.Relisted)
 	return t
 }
@@ -143,7 +143,7 @@
 			}
 			x.UpstreamAddress = i.Address
 			x.UpstreamBorn = i.Born
-			x.Draining = !serving || n.stopping.Load()
+			x.SetDraining(!serving || n.stopping.Load())
 		})
 	}
 	return worker.New(c, q, link, m, log, changed)
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -1,25 +1,24 @@
 package tenure
 
 import (
-	"slices"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pomeloworks/pomelo"
 )
 
-// trustFor is how old, in milliseconds, the knowledge of the members may be for a holder to act on it; a new holder waits as long.
-const trustFor = pomelo.Millis(2_000)
-
-// unseenFor is how long, in milliseconds, changes may go unseen: less than a member's lease of 4 s, by the time that its first write may take.
-const unseenFor = pomelo.Millis(3_500)
+// Times in milliseconds.
+const (
+	// defaultTrust is how old the knowledge of the members may be for a holder to act on it; a new holder waits as long for one that may not know yet.
+	defaultTrust = pomelo.Millis(2_000)
+	// unseenFor is how long changes may go unseen: less than a member's lease of 4 s, by the time that its first write may take.
+	unseenFor = pomelo.Millis(3_500)
+	// leaseMargin is kept of this node's own lease, for clocks that run apart by 1%.
+	leaseMargin = pomelo.Millis(100)
+)
 
 // epochsMost bounds the lists that are kept; a right held through all of them counts from the oldest.
 const epochsMost = 16
 
-// never stands for a right that another member holds.
-const never = pomelo.Millis(-1 << 62)
-
 // Members is the store's list of members and the age of its last proof.
 type Members interface {
 	Current() []pomelo.Member
@@ -31,39 +30,48 @@
 type Tenure struct {
 	members Members
 	clock   pomelo.SteadyClock
+	leased  func() pomelo.Millis
+	trust   pomelo.Millis
 
 	mu sync.Mutex
 	// epochs are the last lists, the newest last.
 	epochs []epoch
-	// held caches since when this node has held a right, for the newest list.
-	held map[string]pomelo.Millis
+	// held caches what is known of the rights that were asked for, for the newest list and the process's present term.
+	held map[string]hold
+	term int64
 	// fresh is when the list was last known to hold.
 	fresh pomelo.Millis
 }
 
-// epoch is a list of members and when it came into force here.
-type epoch struct {
-	list []pomelo.Member
-	at   pomelo.Millis
+// hold is since when, by the clock's time, the lists give a right to this process, and from when on, by the steady time, no process before it can act on the right.
+type hold struct {
+	own   bool
+	since pomelo.Millis
+	clear pomelo.Millis
 }
 
 var _ pomelo.Tenure = (*Tenure)(nil)
 
-// New returns a tenure that holds nothing before the first Change.
-func New(members Members, clock pomelo.SteadyClock, opts ...func(*Tenure)) *Tenure {
-	t := &Tenure{members: members, clock: clock, held: map[string]pomelo.Millis{}}
+// New returns a tenure that holds nothing before the first Change; leased tells until when, by the steady time, the store keeps this node's own record at least.
+func New(members Members, clock pomelo.SteadyClock, leased func() pomelo.Millis, opts ...func(*Tenure)) *Tenure {
+	t := &Tenure{members: members, clock: clock, leased: leased, trust: defaultTrust, held: map[string]hold{}}
 	for _, o := range opts {
 		o(t)
 	}
 	return t
 }
 
+// WithTrust sets how old, in milliseconds, the knowledge of the members may be for a holder to act on it; all nodes must have the same.
+func WithTrust(d pomelo.Millis) func(*Tenure) {
+	return func(t *Tenure) { t.trust = d }
+}
+
 // Change takes in a new list of members; each change of the store's list has to come through here, in its order.
 func (t *Tenure) Change() {
 	t.take(false)
 }
 
-// Relisted takes in a list before which changes may have gone unseen. A record lives longer than unseenFor: only in a longer gap can another member have come and gone, and a lapse of this node's own record shows.
+// Relisted takes in a list before which changes may have gone unseen. A record lives longer than the time that may go unseen: only in a longer gap can another member have come and gone, and a lapse of this node's own record shows.
 func (t *Tenure) Relisted() {
 	t.take(true)
 }
@@ -71,18 +79,19 @@
 func (t *Tenure) take(relisted bool) {
 	list := t.members.Current()
 	self := t.members.Self()
+	age := t.members.MembersAge()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Steady()
+	t.fresh = max(t.fresh, now-age)
+	next := epoch{list: list, at: now, began: t.clock.Now()}
 	switch {
-	case len(t.epochs) == 0:
-		t.epochs = []epoch{{list: list, at: begin(list, self, now)}}
-	case relisted && (now-t.fresh > unseenFor || rewritten(t.list(), list, self.VM)):
-		t.epochs = []epoch{{list: list, at: now}}
-	case owners(t.list(), list):
+	case relisted && (now-t.fresh > unseenFor || !keeps(t.list(), list, self.VM)):
+		t.epochs = []epoch{next}
+	case len(t.epochs) > 0 && sameLive(t.list(), list):
 		t.epochs[len(t.epochs)-1].list = list
 	default:
-		t.epochs = append(t.epochs, epoch{list: list, at: now})
+		t.epochs = append(t.epochs, next)
 	}
 	if len(t.epochs) > epochsMost {
 		t.epochs = t.epochs[1:]
@@ -90,16 +99,6 @@
 	clear(t.held)
 }
 
-// begin is since when this node holds its rights at its first list; what the process before held on this VM goes on, if its record shows that nobody else can have held it since.
-func begin(list []pomelo.Member, self pomelo.Member, now pomelo.Millis) pomelo.Millis {
-	for _, m := range list {
-		if m.VM == self.VM && !m.Draining && m.Incarnation != self.Incarnation {
-			return now - trustFor
-		}
-	}
-	return now
-}
-
 // list is the newest one.
 func (t *Tenure) list() []pomelo.Member {
 	if len(t.epochs) == 0 {
@@ -112,7 +111,7 @@
 func (t *Tenure) Owner(right string) (pomelo.Member, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return owner(t.list(), right)
+	return t.owner(len(t.epochs)-1, right)
 }
 
 // Holds reports whether this node may act on the right now.
@@ -120,89 +119,81 @@
 	return t.HeldFor(right) > 0
 }
 
-// Since is when this node took the right over, by its steady clock, or 0.
+// Since is when, by the clock, this node took the right over, or 0.
 func (t *Tenure) Since(right string) pomelo.Millis {
-	since, ok := t.start(right)
+	h, ok := t.start(right)
 	if !ok {
 		return 0
 	}
-	return max(since, 1)
+	return max(h.since, 1)
 }
 
 // HeldFor is for how long no other node can have acted on the right; it is not positive until the holder before must have stopped.
 func (t *Tenure) HeldFor(right string) pomelo.Millis {
-	since, ok := t.start(right)
+	h, ok := t.start(right)
 	if !ok {
 		return 0
 	}
-	return t.clock.Steady() - since - trustFor
+	return t.clock.Steady() - h.clear
 }
 
-func (t *Tenure) start(right string) (pomelo.Millis, bool) {
+func (t *Tenure) start(right string) (hold, bool) {
 	age := t.members.MembersAge()
-	self := t.members.Self().VM
+	self := t.members.Self()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if age > trustFor {
-		return 0, false
+	now := t.clock.Steady()
+	if age > t.trust || self.Draining || now >= t.leased()-leaseMargin {
+		return hold{}, false
 	}
-	t.fresh = max(t.fresh, t.clock.Steady()-age)
-	since, ok := t.held[right]
+	t.fresh = max(t.fresh, now-age)
+	if self.Term != t.term {
+		t.term = self.Term
+		clear(t.held)
+	}
+	h, ok := t.held[right]
 	if !ok {
-		since = t.sinceOf(right, self)
-		t.held[right] = since
+		h = t.find(right, self)
+		t.held[right] = h
 	}
-	return since, since != never
+	return h, h.own
 }
 
-// sinceOf goes back through the lists as long as they give the right to this node.
-func (t *Tenure) sinceOf(right, self string) pomelo.Millis {
-	since := never
-	for _, e := range slices.Backward(t.epochs) {
-		m, ok := owner(e.list, right)
-		if !ok || m.VM != self {
-			break
-		}
-		since = e.at
+// find looks up the run of lists that give the right to this process.
+func (t *Tenure) find(right string, self pomelo.Member) hold {
+	last := len(t.epochs) - 1
+	m, ok := t.owner(last, right)
+	if !ok || !sameTerm(m, self) {
+		return hold{}
 	}
-	return since
-}
-
-// rewritten reports whether the VM's record in the second list is not the one in the first.
-func rewritten(a, b []pomelo.Member, vm string) bool {
-	of := func(m pomelo.Member) bool { return m.VM == vm }
-	i := slices.IndexFunc(a, of)
-	j := slices.IndexFunc(b, of)
-	return i < 0 || j < 0 || a[i].Revision != b[j].Revision
-}
-
-// owners reports whether the lists give every right to the same VM.
-func owners(a, b []pomelo.Member) bool {
-	same := func(x, y pomelo.Member) bool { return x.VM == y.VM }
-	return slices.EqualFunc(live(a), live(b), same)
+	first := t.runStart(last, right)
+	return hold{own: true, since: t.epochs[first].began, clear: t.clearAt(first, right)}
 }
 
-func live(members []pomelo.Member) []pomelo.Member {
-	var out []pomelo.Member
-	for _, m := range members {
-		if !m.Draining {
-			out = append(out, m)
+// clearAt is from when on no process can act on the right that had it before the run that begins at the epoch.
+func (t *Tenure) clearAt(first int, right string) pomelo.Millis {
+	at := t.epochs[first].at
+	if first == 0 {
+		if m, _ := t.owner(0, right); m.Settled {
+			return at
 		}
+		return at + t.trust
 	}
-	return out
+	before, ok := t.owner(first-1, right)
+	if !ok || !hasStopped(before, t.epochs[first].list) {
+		return at + t.trust
+	}
+	return max(at, t.clearAt(t.runStart(first-1, right), right))
 }
 
-func owner(list []pomelo.Member, right string) (pomelo.Member, bool) {
-	var best pomelo.Member
-	var most uint64
-	for _, m := range list {
-		if m.Draining {
-			continue
-		}
-		if h := xxhash.Sum64String(m.VM + " " + right); best.VM == "" || h > most {
-			best = m
-			most = h
-		}
+// Rested reports whether no process before this one can act any more on the rights that it has by the list.
+func (t *Tenure) Rested() bool {
+	self := t.members.Self()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	joined := -1
+	for i := len(t.epochs) - 1; i >= 0 && lists(t.epochs[i].list, self); i-- {
+		joined = i
 	}
-	return best, best.VM != ""
+	return joined >= 0 && t.clock.Steady() > t.epochs[joined].at+t.trust
 }
--- a/view/view.go
+++ b/view/view.go
@@ -350,6 +350,5 @@
 		log.Warn("member_unreadable", "key", r.Key, "revision", r.Revision)
 		return m, false
 	}
-	m.Revision = r.Revision
 	return m, true
 }
