Rights outlast two more seconds without the store; a joiner asks the holder before

The members' list is trusted for 4.5 s now, and the lease of a record is 6 s. A joiner no longer waits as long where the holder before it says that it has taken in the list.

Ruled out: counting a new list, before which owners may have gone unseen, as showing that the holder before has stopped (TestExclusive found two holders), and a member as rested since its draining record (likewise).

--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -11,9 +11,9 @@
 
 // Times in milliseconds.
 const (
-	// defaultLease outlasts two lost renewals.
-	defaultLease   = pomelo.Millis(4_000)
-	renewalsALease = 3
+	// defaultLease less the time between renewals is how long rights outlast the store: about as long as keys are trusted.
+	defaultLease   = pomelo.Millis(6_000)
+	renewalsALease = 4
 	retryAfter     = pomelo.Millis(200)
 )
 
@@ -118,7 +118,7 @@
 	return b.write(ctx, m)
 }
 
-// hold renews the lease once a third of it has passed, or takes a new one.
+// hold renews the lease once a quarter of it has passed, or takes a new one.
 func (b *Beacon) hold(ctx context.Context) error {
 	now := b.clock.Steady()
 	if b.id != 0 && now-b.renewed < b.lease/renewalsALease {
--- a/mesh/parts.go
+++ b/mesh/parts.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"context"
 	"hash/maphash"
 
 	"github.com/google/uuid"
@@ -113,8 +114,19 @@
 	return view.New(n.host.Store, c, log, n.host.PolicyKey, n.host.ParsePolicy, b.Member, view.WithPeers(d, m))
 }
 
-func newTenure(v *view.View, b *beacon.Beacon, c boot) *tenure.Tenure {
-	t := tenure.New(v, c, b.LeasedUntil)
+func newTenure(v *view.View, b *beacon.Beacon, c boot, log pomelo.Logger) *tenure.Tenure {
+	var t *tenure.Tenure
+	ask := func(m pomelo.Member) {
+		go func() {
+			revision, err := v.Confirm(context.Background(), m)
+			if err != nil {
+				log.Debug("list_not_confirmed", "member", m.VM, "error", err.Error())
+				return
+			}
+			t.Confirmed(m, revision)
+		}()
+	}
+	t = tenure.New(v, c, b.LeasedUntil, tenure.WithConfirm(ask))
 	v.OnChange(t.Change, t.Relisted)
 	return t
 }
--- a/tenure/epoch.go
+++ b/tenure/epoch.go
@@ -12,6 +12,10 @@
 	list  []pomelo.Member
 	at    pomelo.Millis
 	began pomelo.Millis
+	// revision is the store's that the list had reached at least.
+	revision pomelo.Revision
+	// relisted says that owners between this list and the one before may have gone unseen.
+	relisted bool
 }
 
 // owner is the right's owner in the epoch's list.
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -8,10 +8,12 @@
 
 // Times in milliseconds.
 const (
-	// defaultTrust is how old the knowledge of the members may be for a holder to act on it; a new holder waits as long for one that may not know yet.
-	defaultTrust = pomelo.Millis(2_000)
-	// unseenFor is how long changes may go unseen: less than a member's lease of 4 s, by the time that its first write may take.
-	unseenFor = pomelo.Millis(3_500)
+	// defaultTrust is how old the knowledge of the members may be for a holder to act on it, less than the 5 s for which keys are trusted; a new holder waits as long for one that does not answer.
+	defaultTrust = pomelo.Millis(4_500)
+	// unseenFor is how long changes may go unseen: less than it takes a member to come, wait for a holder that does not answer, hold, and go.
+	unseenFor = pomelo.Millis(4_000)
+	// confirmEvery is the pause between two questions to one member: some round trips within a region.
+	confirmEvery = pomelo.Millis(100)
 	// leaseMargin is kept of this node's own lease, for clocks that run apart by 1%.
 	leaseMargin = pomelo.Millis(100)
 )
@@ -19,9 +21,13 @@
 // epochsMost bounds the lists that are kept; a right held through all of them counts from the oldest.
 const epochsMost = 16
 
-// Members is the store's list of members and the age of its last proof.
+// confirmMost bounds the members that a new one asks whether they know of it, so that its work does not grow with the fleet.
+const confirmMost = 32
+
+// Members is the store's list of members, the store's revision that it has reached, and the age of its last proof.
 type Members interface {
 	Current() []pomelo.Member
+	MembersRevision() pomelo.Revision
 	MembersAge() pomelo.Millis
 	Self() pomelo.Member
 }
@@ -32,6 +38,7 @@
 	clock   pomelo.SteadyClock
 	leased  func() pomelo.Millis
 	trust   pomelo.Millis
+	confirm func(pomelo.Member)
 
 	mu sync.Mutex
 	// epochs are the last lists, the newest last.
@@ -41,6 +48,9 @@
 	term int64
 	// fresh is when the list was last known to hold.
 	fresh pomelo.Millis
+	// confirmed are the revisions up to which processes have said to know the list, and asked when they were asked last.
+	confirmed map[process]pomelo.Revision
+	asked     map[process]pomelo.Millis
 }
 
 // hold is since when, by the clock's time, the lists give a right to this process, and from when on, by the steady time, no process before it can act on the right.
@@ -48,6 +58,8 @@
 	own   bool
 	since pomelo.Millis
 	clear pomelo.Millis
+	// before may still act on the right until then, unless it confirms that it knows better.
+	before pomelo.Member
 }
 
 var _ pomelo.Tenure = (*Tenure)(nil)
@@ -55,6 +67,9 @@
 // New returns a tenure that holds nothing before the first Change; leased tells until when, by the steady time, the store keeps this node's own record at least.
 func New(members Members, clock pomelo.SteadyClock, leased func() pomelo.Millis, opts ...func(*Tenure)) *Tenure {
 	t := &Tenure{members: members, clock: clock, leased: leased, trust: defaultTrust, held: map[string]hold{}}
+	t.confirm = func(pomelo.Member) {}
+	t.confirmed = map[process]pomelo.Revision{}
+	t.asked = map[process]pomelo.Millis{}
 	for _, o := range opts {
 		o(t)
 	}
@@ -66,6 +81,11 @@
 	return func(t *Tenure) { t.trust = d }
 }
 
+// WithConfirm sets how a member is asked for the revision up to which it knows the list; the answer comes through Confirmed.
+func WithConfirm(ask func(pomelo.Member)) func(*Tenure) {
+	return func(t *Tenure) { t.confirm = ask }
+}
+
 // Change takes in a new list of members; each change of the store's list has to come through here, in its order.
 func (t *Tenure) Change() {
 	t.take(false)
@@ -80,11 +100,12 @@
 	list := t.members.Current()
 	self := t.members.Self()
 	age := t.members.MembersAge()
+	revision := t.members.MembersRevision()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Steady()
 	t.fresh = max(t.fresh, now-age)
-	next := epoch{list: list, at: now, began: t.clock.Now()}
+	next := epoch{list: list, at: now, began: t.clock.Now(), revision: revision, relisted: relisted}
 	switch {
 	case relisted && (now-t.fresh > unseenFor || !keeps(t.list(), list, self.VM)):
 		t.epochs = []epoch{next}
@@ -96,6 +117,7 @@
 	if len(t.epochs) > epochsMost {
 		t.epochs = t.epochs[1:]
 	}
+	t.forget()
 	clear(t.held)
 }
 
@@ -156,6 +178,9 @@
 		h = t.find(right, self)
 		t.held[right] = h
 	}
+	if now <= h.clear && h.before.VM != "" {
+		t.question(h.before, now)
+	}
 	return h, h.own
 }
 
@@ -167,7 +192,11 @@
 		return hold{}
 	}
 	first := t.runStart(last, right)
-	return hold{own: true, since: t.epochs[first].began, clear: t.clearAt(first, right)}
+	h := hold{own: true, since: t.epochs[first].began, clear: t.clearAt(first, right)}
+	if before, ok := t.owner(first-1, right); ok {
+		h.before = before
+	}
+	return h
 }
 
 // clearAt is from when on no process can act on the right that had it before the run that begins at the epoch.
@@ -180,20 +209,27 @@
 		return at + t.trust
 	}
 	before, ok := t.owner(first-1, right)
-	if !ok || !hasStopped(before, t.epochs[first].list) {
+	if !ok || t.epochs[first].relisted || !hasStopped(before, t.epochs[first].list) && !t.knows(before, t.epochs[first].revision) {
 		return at + t.trust
 	}
 	return max(at, t.clearAt(t.runStart(first-1, right), right))
 }
 
-// Rested reports whether no process before this one can act any more on the rights that it has by the list.
+// Rested reports whether no process before this one can act any more on the rights that it has by the list, and asks the members that may not know yet.
 func (t *Tenure) Rested() bool {
 	self := t.members.Self()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	joined := -1
-	for i := len(t.epochs) - 1; i >= 0 && lists(t.epochs[i].list, self); i-- {
+	for i := len(t.epochs) - 1; i >= 0 && lists(live(t.epochs[i].list), self); i-- {
 		joined = i
 	}
-	return joined >= 0 && t.clock.Steady() > t.epochs[joined].at+t.trust
+	if joined < 0 {
+		return false
+	}
+	now := t.clock.Steady()
+	if now > t.epochs[joined].at+t.trust {
+		return true
+	}
+	return t.allKnow(self, t.epochs[joined].revision, now)
 }
--- a/view/relay.go
+++ b/view/relay.go
@@ -64,6 +64,15 @@
 	return v.accept(r, start)
 }
 
+// Confirm asks a member for the revision up to which it knows the list of members.
+func (v *View) Confirm(ctx context.Context, m pomelo.Member) (pomelo.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout.Duration())
+	defer cancel()
+	var r Proof
+	err := v.peers.Ask(ctx, m, pomelo.MessageGossip, true, &r)
+	return r.Watched, err
+}
+
 func (v *View) accept(r Proof, start pomelo.Millis) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/view/view.go
+++ b/view/view.go
@@ -46,6 +46,8 @@
 	proven   bool
 	members  members
 	watched  pomelo.Revision
+	// taken is the highest revision of a record or list that the members rest on.
+	taken    pomelo.Revision
 	lagging  lag
 	restart  context.CancelFunc
 	notify   []func()
@@ -136,6 +138,13 @@
 	return v.clock.Steady() - v.members.provenAt
 }
 
+// MembersRevision is the store's revision that the list of members has reached at least.
+func (v *View) MembersRevision() pomelo.Revision {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.taken
+}
+
 // Run follows the store until the context ends.
 func (v *View) Run(ctx context.Context) {
 	go v.follow(ctx)
@@ -229,6 +238,7 @@
 	}
 	v.mu.Lock()
 	changed := v.members.replace(decodeAll(l.Records, v.log), v.clock.Steady())
+	v.taken = max(v.taken, l.Revision)
 	v.mu.Unlock()
 	v.log.Info("members_listed", "count", len(l.Records), "revision", l.Revision)
 	first := false
@@ -295,6 +305,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	vm := strings.TrimPrefix(r.Key, pomelo.PrefixMember)
+	v.taken = max(v.taken, r.Revision)
 	if r.Deleted {
 		return v.members.lapse(vm, now)
 	}
