Rights: a new holder waits only until all listed members know

All other listed members, 32 at most, are asked how far they know the list; once all know it, none can act on the right.

--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -58,7 +58,8 @@
 	own   bool
 	since pomelo.Millis
 	clear pomelo.Millis
-	// before may still act on the right until then, unless it confirms that it knows better.
+	// first is the epoch with which that began; before had the right until then, and may still act on it unless it confirms that it knows better.
+	first  int
 	before pomelo.Member
 }
 
@@ -178,10 +179,22 @@
 		h = t.find(right, self)
 		t.held[right] = h
 	}
-	if now <= h.clear && h.before.VM != "" {
+	if h.own && now <= h.clear {
+		t.hurry(right, h, now)
+	}
+	return t.held[right], h.own
+}
+
+// hurry asks those that may still act on the right, and lets it be used as soon as none of them does.
+func (t *Tenure) hurry(right string, h hold, now pomelo.Millis) {
+	if h.before.VM != "" {
 		t.question(h.before, now)
 	}
-	return h, h.own
+	e := t.epochs[h.first]
+	if t.allKnow(t.members.Self(), e.revision, now) {
+		h.clear = e.at
+		t.held[right] = h
+	}
 }
 
 // find looks up the run of lists that give the right to this process.
@@ -192,7 +205,7 @@
 		return hold{}
 	}
 	first := t.runStart(last, right)
-	h := hold{own: true, since: t.epochs[first].began, clear: t.clearAt(first, right)}
+	h := hold{own: true, first: first, since: t.epochs[first].began, clear: t.clearAt(first, right)}
 	if before, ok := t.owner(first-1, right); ok {
 		h.before = before
 	}
