Keep requests away whose sub-calls would be turned away; more attempts for those let in

Four such calls in sequence with two attempts each succeed seldom; 300 requests in 2 s failed after they had begun, and no threshold showed why.

Answers tell how many sub-calls ended refused for overload, and the entry moves a cutoff by the requests that failed so. A call that an upstream turned away may go to the same members again, six attempts in all, within the retry share. Retries are weighed against the calls of the last ten seconds or those before, since fewer are let in just then.

--- a/call.go
+++ b/call.go
@@ -37,11 +37,12 @@
 	Deadline Millis `cbor:"-"`
 }
 
-// Visit counts the calls of one subtree on one service and carries that service's shedding threshold (0: nothing shed, 1: all shed).
+// Visit counts the calls of one subtree on one service and those of them that ended refused for overload, and carries that service's shedding threshold (0: nothing shed, 1: all shed).
 type Visit struct {
 	Service   string  `cbor:"1,keyasint"`
 	Calls     int     `cbor:"2,keyasint"`
 	Threshold float64 `cbor:"3,keyasint,omitempty"`
+	Refused   int     `cbor:"4,keyasint,omitempty"`
 }
 
 // Answer is the outcome of a call: the upstream's whole response, or a Refusal.
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -90,6 +90,9 @@
 	}
 	a := i.next.Handle(ctx, c)
 	i.parents.Visited(c.Parent, a.Visits)
+	if a.Refusal != nil && a.Refusal.Kind == pomelo.KindOverload {
+		i.parents.Visited(c.Parent, []pomelo.Visit{{Service: c.Service, Refused: 1}})
+	}
 	return a
 }
 
--- a/mesh/parts.go
+++ b/mesh/parts.go
@@ -39,6 +39,8 @@
 	retryFloor = 2
 	// placements bounds the members that are asked for one call while none has sent it to an upstream.
 	placements = 4
+	// repeats bounds the attempts of a call that upstreams turn away: with half of all turned away, one call in 64 is left by then.
+	repeats = 6
 	// dialTimeout is for a peer within a region: some ten round trips, in milliseconds.
 	dialTimeout = pomelo.Millis(250)
 	// headBytes and bodyBytes bound a message between nodes.
@@ -175,7 +177,7 @@
 func newSender(n *Node, c *clock.Clock, v *view.View, d *dialer.Pool, w *worker.Worker, m *metric.Sink) *send.Sender {
 	p := place.New(c, n.settings.AvailabilityZone, newSeed())
 	r := ratio.New(c, ratio.WithShare(retryPart*n.settings.RetryShare, retryFloor))
-	return send.New(c, v, p, d, w, m, send.WithRetryLimiter(r), send.WithPlacements(placements))
+	return send.New(c, v, p, d, w, m, send.WithRetryLimiter(r), send.WithPlacements(placements), send.WithRepeats(repeats))
 }
 
 func newIntake(n *Node, c *clock.Clock, v *view.View, r *rates.Limiter, s *send.Sender, w *worker.Worker, m *metric.Sink, log pomelo.Logger) *intake.Intake {
--- a/ratio/ratio.go
+++ b/ratio/ratio.go
@@ -11,10 +11,13 @@
 	// defaultFloor is in retries a window, so that a service with few calls can retry at all.
 	defaultFloor = 10
 	bucketLength = pomelo.Millis(1_000)
-	buckets      = 10
+	// buckets make up the span over which retries are counted.
+	buckets = 10
+	// kept is twice as many: retries may be weighed against the calls of the span before.
+	kept = 2 * buckets
 )
 
-// Ratio counts calls and retries by service over the last ten seconds.
+// Ratio counts calls and retries by service. Retries of the last ten seconds are weighed against the calls of these, of the ten before, or of ten half-way in between, whichever are most: a service that fails gets fewer calls just then.
 type Ratio struct {
 	clock    pomelo.Clock
 	share    float64
@@ -52,7 +55,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.window(service)
-	if float64(w.retries) >= float64(r.floor)+r.share*float64(w.calls) {
+	if float64(w.retries()) >= float64(r.floor)+r.share*float64(w.calls()) {
 		return false
 	}
 	w.add(0, 1)
--- a/ratio/ratio_test.go
+++ b/ratio/ratio_test.go
@@ -34,6 +34,8 @@
 			c.Advance(9_000)
 			convey.So(retries(r, 100), convey.ShouldEqual, 0)
 			c.Advance(1_000)
+			convey.So(retries(r, 100), convey.ShouldEqual, 22)
+			c.Advance(10_000)
 			convey.So(retries(r, 100), convey.ShouldEqual, 2)
 		})
 	})
--- a/send/sender.go
+++ b/send/sender.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/pomeloworks/pomelo"
 )
@@ -19,6 +20,8 @@
 	retries   pomelo.RetryLimiter
 	// placements bounds the members asked for one call where a refusal before the upstream costs no retry; 0 has each cost one.
 	placements int
+	// repeats bounds the attempts of one call where its upstreams turn it away and no other may be tried; 0 sends to no member twice.
+	repeats int
 }
 
 // New returns a sender; calls that it picks this node for go to local without the network.
@@ -48,6 +51,11 @@
 	return func(s *Sender) { s.placements = n }
 }
 
+// WithRepeats lets a call that its upstreams turned away go to the same ones again, up to n attempts in all and within the retry limiter: they may turn calls away by chance.
+func WithRepeats(n int) func(*Sender) {
+	return func(s *Sender) { s.repeats = n }
+}
+
 // Handle sends the call until it is answered, its retries are spent, or no member is left; the answer brings back the unspent ones.
 func (s *Sender) Handle(ctx context.Context, c pomelo.Call) pomelo.Answer {
 	p := newBudget(c.Retries)
@@ -83,7 +91,7 @@
 
 // next chooses the member for another attempt and pays for it; false means that the answer is final.
 func (s *Sender) next(ctx context.Context, c pomelo.Call, a pomelo.Answer, p *budget, tried []string) (pomelo.Member, bool) {
-	if !again(ctx, c, a) {
+	if !mayRepeat(ctx, c, a) {
 		return pomelo.Member{}, false
 	}
 	if s.isFree(a) {
@@ -93,16 +101,34 @@
 		return s.picker.Pick(c, s.members.Serving(c.Service), tried)
 	}
 	if p.left == 0 {
-		return pomelo.Member{}, false
+		return s.again(c, a, tried)
 	}
 	m, ok := s.picker.Pick(c, s.members.Serving(c.Service), tried)
-	if !ok || !s.allowed(c, a) {
+	if !ok {
+		return s.again(c, a, tried)
+	}
+	if !s.allowed(c, a) {
 		return pomelo.Member{}, false
 	}
 	p.left--
 	return m, true
 }
 
+// again chooses among the members that were tried for a call that an upstream turned away.
+func (s *Sender) again(c pomelo.Call, a pomelo.Answer, tried []string) (pomelo.Member, bool) {
+	if !a.Reached || a.Refusal.Ran != pomelo.RanNo || a.Refusal.Kind != pomelo.KindOverload || len(tried) >= s.repeats {
+		return pomelo.Member{}, false
+	}
+	var known []pomelo.Member
+	for _, m := range s.members.Serving(c.Service) {
+		if slices.Contains(tried, m.VM) {
+			known = append(known, m)
+		}
+	}
+	m, ok := s.picker.Pick(c, known, nil)
+	return m, ok && s.allowed(c, a)
+}
+
 // lend passes no retries on to members that spend none for their sub-calls.
 func (s *Sender) lend(p *budget) int {
 	if s.placements > 0 {
@@ -142,8 +168,8 @@
 	return s.transport.Send(ctx, m, c)
 }
 
-// again reports whether another member may be tried: only a call that did not run, or that is idempotent.
-func again(ctx context.Context, c pomelo.Call, a pomelo.Answer) bool {
+// mayRepeat reports whether another member may be tried: only a call that did not run, or that is idempotent.
+func mayRepeat(ctx context.Context, c pomelo.Call, a pomelo.Answer) bool {
 	if a.Refusal == nil || ctx.Err() != nil {
 		return false
 	}
--- a/shed/shedder.go
+++ b/shed/shedder.go
@@ -22,6 +22,7 @@
 	random  *rand.Rand
 	graphs  map[string]graph
 	levels  map[share]*level
+	chains  chains
 }
 
 // New returns a shedder that knows nothing yet and hands requests to next.
@@ -33,6 +34,7 @@
 		random:  rand.New(rand.NewPCG(0, 0)),
 		graphs:  map[string]graph{},
 		levels:  map[share]*level{},
+		chains:  chains{},
 	}
 	for _, o := range opts {
 		o(s)
@@ -63,15 +65,23 @@
 	position := rank.Of(c).Position()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for service, calls := range s.graphs[c.RouteName] {
-		if calls < leastCalls || position >= s.level(service, c.Account).at(now) {
+	needs := s.graphs[c.RouteName]
+	for service, calls := range needs {
+		if calls < leastCalls {
+			continue
+		}
+		if service != c.Service && position < s.chains.cutoff(now, service) {
+			return pomelo.NewOverload("service "+service+", which the request needs, turns calls away", s.random.Float64())
+		}
+		if position >= s.level(service, c.Account).at(now) {
 			continue
 		}
 		if s.random.Float64() < probeShare {
-			return nil
+			break
 		}
 		return pomelo.NewOverload("service "+service+", which the request needs, is overloaded", s.random.Float64())
 	}
+	s.chains.begun(c, needs)
 	return nil
 }
 
@@ -81,6 +91,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.graph(c.RouteName).learn(a.Visits, whole)
+	s.chains.ended(now, c, a)
 	for _, v := range a.Visits {
 		s.learnLevel(now, share{service: v.Service, account: c.Account}, v.Threshold)
 	}
--- a/worker/record.go
+++ b/worker/record.go
@@ -19,6 +19,7 @@
 	for i := range r.visits {
 		if r.visits[i].Service == v.Service {
 			r.visits[i].Calls += v.Calls
+			r.visits[i].Refused += v.Refused
 			r.visits[i].Threshold = max(r.visits[i].Threshold, v.Threshold)
 			return
 		}
