--- a/mesh/parts.go
+++ b/mesh/parts.go
@@ -37,6 +37,8 @@
 	retryPart = 0.8
 	// retryFloor is how many retries in ten seconds a node may send to a service that it hardly calls.
 	retryFloor = 2
+	// retryPace of the retries of ten seconds may be spent in one: about twice their mean.
+	retryPace = 0.2
 	// placements bounds the members that are asked for one call while none has sent it to an upstream.
 	placements = 4
 	// repeats bounds the attempts of a call that upstreams turn away: with half of all turned away, one call in 64 is left by then.
@@ -176,7 +178,7 @@
 
 func newSender(n *Node, c *clock.Clock, v *view.View, d *dialer.Pool, w *worker.Worker, m *metric.Sink) *send.Sender {
 	p := place.New(c, n.settings.AvailabilityZone, newSeed())
-	r := ratio.New(c, ratio.WithShare(retryPart*n.settings.RetryShare, retryFloor))
+	r := ratio.New(c, ratio.WithShare(retryPart*n.settings.RetryShare, retryFloor), ratio.WithPace(retryPace))
 	return send.New(c, v, p, d, w, m, send.WithRetryLimiter(r), send.WithPlacements(placements), send.WithRepeats(repeats))
 }
 
--- a/ratio/ratio.go
+++ b/ratio/ratio.go
@@ -22,13 +22,14 @@
 	clock    pomelo.Clock
 	share    float64
 	floor    int
+	pace     float64
 	mu       sync.Mutex
 	services map[string]*window
 }
 
 // New returns a ratio of one retry in ten calls, and of ten retries in ten seconds at least.
 func New(clock pomelo.Clock, opts ...func(*Ratio)) *Ratio {
-	r := &Ratio{clock: clock, share: defaultShare, floor: defaultFloor, services: map[string]*window{}}
+	r := &Ratio{clock: clock, share: defaultShare, floor: defaultFloor, pace: 1, services: map[string]*window{}}
 	for _, o := range opts {
 		o(r)
 	}
@@ -43,6 +44,11 @@
 	}
 }
 
+// WithPace bounds the retries of one second to this part of those of ten, 0 to 1, so that some are left for the more important calls of the seconds to come.
+func WithPace(part float64) func(*Ratio) {
+	return func(r *Ratio) { r.pace = part }
+}
+
 // Call counts a first attempt at a service that is known to exist.
 func (r *Ratio) Call(service string) {
 	r.mu.Lock()
@@ -55,7 +61,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.window(service)
-	if float64(w.retries()) >= float64(r.floor)+r.share*float64(w.calls()) {
+	allowed := float64(r.floor) + r.share*float64(w.calls())
+	if float64(w.retries()) >= allowed || float64(w.newest().retries) >= max(1, r.pace*allowed) {
 		return false
 	}
 	w.add(0, 1)
--- a/ratio/ratio_test.go
+++ b/ratio/ratio_test.go
@@ -39,4 +39,16 @@
 			convey.So(retries(r, 100), convey.ShouldEqual, 2)
 		})
 	})
+	convey.Convey("A pace leaves retries for the seconds to come", t, func() {
+		c := clock.New(clock.WithManual(0))
+		r := ratio.New(c, ratio.WithShare(0.1, 0), ratio.WithPace(0.25))
+		for range 400 {
+			r.Call("shop")
+		}
+		for range 4 {
+			convey.So(retries(r, 100), convey.ShouldEqual, 10)
+			c.Advance(1_000)
+		}
+		convey.So(retries(r, 100), convey.ShouldEqual, 0)
+	})
 }
--- a/ratio/window.go
+++ b/ratio/window.go
@@ -13,8 +13,12 @@
 	counts [kept]bucket
 }
 
+func (w *window) newest() *bucket {
+	return &w.counts[w.at%kept]
+}
+
 func (w *window) add(calls, retries int) {
-	b := &w.counts[w.at%kept]
+	b := w.newest()
 	b.calls += calls
 	b.retries += retries
 }
