--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -8,8 +8,8 @@
 
 // Times in milliseconds.
 const (
-	// defaultTrust is how old the knowledge of the members may be for a holder to act on it, less than the 5 s for which keys are trusted; a new holder waits as long for one that does not answer.
-	defaultTrust = pomelo.Millis(4_500)
+	// trustFor is how old the knowledge of the members may be for a holder to act on it, less than the 5 s for which keys are trusted; a new holder waits as long for one that does not answer.
+	trustFor = pomelo.Millis(4_500)
 	// unseenFor is how long changes may go unseen: less than it takes a member to come, wait for a holder that does not answer, hold, and go.
 	unseenFor = pomelo.Millis(4_000)
 	// confirmEvery is the pause between two questions to one member: some round trips within a region.
@@ -32,12 +32,11 @@
 	Self() pomelo.Member
 }
 
-// Tenure implements pomelo.Tenure without any message of its own.
+// Tenure implements pomelo.Tenure; it decides by lists, times and confirmations that it is given.
 type Tenure struct {
 	members Members
 	clock   pomelo.SteadyClock
 	leased  func() pomelo.Millis
-	trust   pomelo.Millis
 	confirm func(pomelo.Member)
 
 	mu sync.Mutex
@@ -67,21 +66,21 @@
 
 // New returns a tenure that holds nothing before the first Change; leased tells until when, by the steady time, the store keeps this node's own record at least.
 func New(members Members, clock pomelo.SteadyClock, leased func() pomelo.Millis, opts ...func(*Tenure)) *Tenure {
-	t := &Tenure{members: members, clock: clock, leased: leased, trust: defaultTrust, held: map[string]hold{}}
-	t.confirm = func(pomelo.Member) {}
-	t.confirmed = map[process]pomelo.Revision{}
-	t.asked = map[process]pomelo.Millis{}
+	t := &Tenure{
+		members:   members,
+		clock:     clock,
+		leased:    leased,
+		confirm:   func(pomelo.Member) {},
+		held:      map[string]hold{},
+		confirmed: map[process]pomelo.Revision{},
+		asked:     map[process]pomelo.Millis{},
+	}
 	for _, o := range opts {
 		o(t)
 	}
 	return t
 }
 
-// WithTrust sets how old, in milliseconds, the knowledge of the members may be for a holder to act on it; all nodes must have the same.
-func WithTrust(d pomelo.Millis) func(*Tenure) {
-	return func(t *Tenure) { t.trust = d }
-}
-
 // WithConfirm sets how a member is asked for the revision up to which it knows the list; the answer comes through Confirmed.
 func WithConfirm(ask func(pomelo.Member)) func(*Tenure) {
 	return func(t *Tenure) { t.confirm = ask }
@@ -166,7 +165,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Steady()
-	if age > t.trust || self.Draining || now >= t.leased()-leaseMargin {
+	if age > trustFor || self.Draining || now >= t.leased()-leaseMargin {
 		return hold{}, false
 	}
 	t.fresh = max(t.fresh, now-age)
@@ -219,11 +218,11 @@
 		if m, _ := t.owner(0, right); m.Settled {
 			return at
 		}
-		return at + t.trust
+		return at + trustFor
 	}
 	before, ok := t.owner(first-1, right)
 	if !ok || t.epochs[first].relisted || !hasStopped(before, t.epochs[first].list) && !t.knows(before, t.epochs[first].revision) {
-		return at + t.trust
+		return at + trustFor
 	}
 	return max(at, t.clearAt(t.runStart(first-1, right), right))
 }
@@ -241,7 +240,7 @@
 		return false
 	}
 	now := t.clock.Steady()
-	if now > t.epochs[joined].at+t.trust {
+	if now > t.epochs[joined].at+trustFor {
 		return true
 	}
 	return t.allKnow(self, t.epochs[joined].revision, now)
