A call whose caller has left is not sent any more

The connection's end cancelled the call before it was sent, but a call on a kept connection to the upstream was written without a look at that.

Before: TestGivenUpBefore and TestLeftBefore fail. After: they pass.

--- a/send/repeat_test.go
+++ b/send/repeat_test.go
@@ -76,3 +76,17 @@
 		})
 	})
 }
+
+func TestLeftBefore(t *testing.T) {
+	convey.Convey("A call whose caller has left is not sent", t, func() {
+		c := clock.New()
+		s := &shedding{sent: map[string]int{}}
+		x := send.New(c, members{}, pick.New(c, 1), s, nil, metric.New())
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		a := x.Handle(ctx, pomelo.Call{ID: "1", Service: "shop", Deadline: c.Now() + 5000})
+		convey.So(a.Refusal.Kind, convey.ShouldEqual, pomelo.KindCanceled)
+		convey.So(a.Refusal.Ran, convey.ShouldEqual, pomelo.RanNo)
+		convey.So(s.total(), convey.ShouldEqual, 0)
+	})
+}
--- a/send/sender.go
+++ b/send/sender.go
@@ -153,6 +153,9 @@
 	if c.Budget <= 0 {
 		return pomelo.Refuse(c.ID, pomelo.NewFault(pomelo.KindDeadline, "the request's deadline has passed", "allow more time"))
 	}
+	if ctx.Err() != nil {
+		return pomelo.Refuse(c.ID, pomelo.NewFault(pomelo.KindCanceled, "the caller has left", "send it again if it is still wanted"))
+	}
 	ctx, cancel := context.WithTimeout(ctx, c.Budget.Duration())
 	defer cancel()
 	s.picker.Sent(m)
--- a/uplink/link.go
+++ b/uplink/link.go
@@ -46,6 +46,9 @@
 
 // Do sends the call to the upstream and reads its whole answer; a refusal says whether the call can have run.
 func (l *Link) Do(ctx context.Context, u pomelo.Instance, c pomelo.Call) pomelo.Answer {
+	if ctx.Err() != nil {
+		return pomelo.Refuse(c.ID, givenUp(ctx, pomelo.RanNo))
+	}
 	k, err := l.connect(ctx, u.Address)
 	if err != nil {
 		return pomelo.Refuse(c.ID, unreachable(ctx, err))
--- a/uplink/link_test.go
+++ b/uplink/link_test.go
@@ -260,6 +260,33 @@
 	})
 }
 
+func TestGivenUpBefore(t *testing.T) {
+	convey.Convey("A call whose caller has left before is not sent, on a kept connection either", t, func() {
+		taken := make(chan string, 8)
+		s := serve(t, func(c net.Conn, r *bufio.Reader, _ int) {
+			for {
+				id := head(r)
+				if id == "" {
+					return
+				}
+				taken <- id
+				_, _ = io.WriteString(c, answer(id, ""))
+			}
+		})
+		l := uplink.New(plain{}, clock.New(), metric.New())
+		a := l.Do(context.Background(), pomelo.Instance{Address: s.address}, call("1", ""))
+		convey.So(a.Refusal, convey.ShouldBeNil)
+		convey.So(<-taken, convey.ShouldEqual, "1")
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		a = l.Do(ctx, pomelo.Instance{Address: s.address}, call("2", ""))
+		convey.So(a.Refusal.Ran, convey.ShouldEqual, pomelo.RanNo)
+		a = l.Do(context.Background(), pomelo.Instance{Address: s.address}, call("3", ""))
+		convey.So(a.Refusal, convey.ShouldBeNil)
+		convey.So(<-taken, convey.ShouldEqual, "3")
+	})
+}
+
 func TestCancel(t *testing.T) {
 	convey.Convey("A caller that leaves has the upstream's connection closed at once", t, func() {
 		closed := make(chan error, 1)
