Dialer: a rejected handshake is recognised by the stream's own error

Cause: a peer that does not accept the caller's certificate ends the connection after the client has finished its handshake. quic-go fails the streams first and ends the connection's context after; a call that was read in between counted as in doubt, though the peer had accepted no stream. Ruled out: a call that ran (the handler never saw one). Change: the stream's first error is kept beside the codec's fault, which repeats it only in words, and is looked at before the connection's context. The test is as it was.

--- a/dialer/peer_conn.go
+++ b/dialer/peer_conn.go
@@ -37,10 +37,14 @@
 	return !c.unresponsive && c.conn.Context().Err() == nil
 }
 
-// handshakeRejected reports whether the peer has rejected the handshake, and thus has accepted no stream of this connection.
-func (c *peerConn) handshakeRejected() bool {
+// handshakeRejected reports whether the peer has rejected the handshake, and thus has accepted no stream of this connection; streamErr is the error of one of its streams.
+func (c *peerConn) handshakeRejected(streamErr error) bool {
+	return isHandshakeRejection(streamErr) || isHandshakeRejection(context.Cause(c.conn.Context()))
+}
+
+func isHandshakeRejection(err error) bool {
 	var e *quic.TransportError
-	return errors.As(context.Cause(c.conn.Context()), &e) && e.Remote && e.ErrorCode.IsCryptoError()
+	return errors.As(err, &e) && e.Remote && e.ErrorCode.IsCryptoError()
 }
 
 // addStream registers a waiting stream and starts the monitor if it does not run.
--- a/dialer/send.go
+++ b/dialer/send.go
@@ -5,7 +5,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/pomeloworks/pomelo"
-	"github.com/quic-go/quic-go"
 )
 
 // answerGrace is the time after the deadline, in milliseconds, for which the serving node's own answer to a timed-out call is still awaited.
@@ -32,13 +31,14 @@
 		return pomelo.Refuse(c.ID, peerLost(err, pomelo.RanNo))
 	}
 	defer pc.removeStream(s)
-	a, err := d.roundTrip(graceCtx, s)
+	o := &observedStream{Stream: s}
+	a, err := d.roundTrip(graceCtx, o)
 	if err == nil {
 		pc.recordAnswer()
 		return a
 	}
 	defer cancelStream(s)
-	if pc.handshakeRejected() {
+	if pc.handshakeRejected(o.err) {
 		return pomelo.Refuse(c.ID, peerLost(err, pomelo.RanNo))
 	}
 	if pomelo.IsKind(err, pomelo.KindTooLarge) {
@@ -51,8 +51,8 @@
 }
 
 // roundTrip sends the call and reads its answer; after an error the call is in doubt, except that a call with KindTooLarge was not sent. The stream is reset only when the caller cancels.
-func (d *delivery) roundTrip(ctx context.Context, s *quic.Stream) (pomelo.Answer, error) {
-	stop := context.AfterFunc(ctx, func() { cancelStream(s) })
+func (d *delivery) roundTrip(ctx context.Context, s *observedStream) (pomelo.Answer, error) {
+	stop := context.AfterFunc(ctx, func() { cancelStream(s.Stream) })
 	defer stop()
 	if err := d.pool.codec.Write(s, pomelo.MessageCall, d.call.ID, d.call, d.call.Body); err != nil {
 		return pomelo.Answer{}, err
@@ -61,7 +61,7 @@
 }
 
 // readAnswer ends the request on the stream and reads the answer.
-func (d *delivery) readAnswer(s *quic.Stream) (pomelo.Answer, error) {
+func (d *delivery) readAnswer(s *observedStream) (pomelo.Answer, error) {
 	var a pomelo.Answer
 	if err := s.Close(); err != nil {
 		return a, errors.Wrap(err, "end the request")
