Rates: a request that arrives while a round ends starts the next round

Cause: a round decided to end under the account's lock, released it, and refused all waiting requests under the lock again. A request that arrived in between, or after the round's one pause, was refused though nobody had asked an owner on its behalf; one that arrived late in a round of 300 ms was refused after a shorter wait than the earlier ones. Ruled out: the owner's bucket (it had tokens left), a failed token request. Change: the decision to end and the refusals are one step, concern only the requests that the round was run for, and a request is refused for time only after its own 300 ms. The test is as it was.

--- a/rates/limiter.go
+++ b/rates/limiter.go
@@ -49,7 +49,8 @@
 	mu         sync.Mutex
 	pool       *pool.Pool
 	config     pomelo.ClientAccount
-	waiters    []chan bool
+	waiters    []waiter
+	lastWaiter uint64
 	requesting bool
 	lastUsed   pomelo.Millis
 }
@@ -92,8 +93,7 @@
 		defer a.mu.Unlock()
 		return l.refuse(a)
 	}
-	w := make(chan bool, 1)
-	a.waiters = append(a.waiters, w)
+	w := a.addWaiter(now)
 	l.startRound(a)
 	a.mu.Unlock()
 	return l.await(ctx, a, w)
@@ -150,9 +150,9 @@
 	return out
 }
 
-func (l *Limiter) await(ctx context.Context, a *account, w chan bool) error {
+func (l *Limiter) await(ctx context.Context, a *account, w waiter) error {
 	select {
-	case admitted := <-w:
+	case admitted := <-w.admitted:
 		if admitted {
 			return nil
 		}
--- a/rates/round.go
+++ b/rates/round.go
@@ -19,37 +19,30 @@
 		return
 	}
 	a.requesting = true
-	go l.round(a)
+	go l.round(a, newRoundState(l.clock.Now(), a.lastWaiter))
 }
 
-// round requests tokens until every waiting request is admitted or no owner is left to ask, pauses at most once, and then refuses the rest.
-func (l *Limiter) round(a *account) {
-	ctx, cancel := context.WithTimeout(context.Background(), maxTokenWait.Duration())
-	defer cancel()
-	since := l.clock.Now()
-	paused := false
-	p := pending{finished: make(chan struct{}, maxRoundRequests)}
-	for ctx.Err() == nil {
-		requests, owners, pause := l.plan(a, since)
-		if len(requests) == 0 && p.count == 0 {
-			if pause == 0 || paused {
-				break
-			}
-			paused = true
-			_ = l.clock.Sleep(ctx, pause)
-			since = l.clock.Now()
+// round requests tokens until no request waits; a request is refused when no owner is left to ask on its behalf, or when it has waited for maxTokenWait.
+func (l *Limiter) round(a *account, r *roundState) {
+	for {
+		s := l.plan(a, r)
+		if s.done {
+			return
+		}
+		if s.pause > 0 {
+			_ = l.clock.Sleep(context.Background(), s.pause)
+			r.since = l.clock.Now()
 			continue
 		}
-		for _, d := range requests {
-			p.count++
+		for _, d := range s.requests {
+			r.pending.count++
 			go func() {
-				l.requestTokens(a, owners, d)
-				p.finished <- struct{}{}
+				l.requestTokens(a, s.owners, d)
+				r.pending.finished <- struct{}{}
 			}()
 		}
-		p.wait(ctx)
+		r.pending.wait()
 	}
-	l.finish(a)
 }
 
 // pending tracks the in-flight token requests of a round; a slow one must not delay the round.
@@ -59,8 +52,8 @@
 }
 
 // wait returns when all token requests have finished, at the latest after slowRequestAfter.
-func (p *pending) wait(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, slowRequestAfter.Duration())
+func (p *pending) wait() {
+	ctx, cancel := context.WithTimeout(context.Background(), slowRequestAfter.Duration())
 	defer cancel()
 	for p.count > 0 {
 		select {
@@ -72,40 +65,30 @@
 	}
 }
 
-// plan returns the token requests to send, or how long to pause until the owners may have earned the missing tokens.
-func (l *Limiter) plan(a *account, since pomelo.Millis) ([]pomelo.OwnerGrantRequests, shardOwners, pomelo.Millis) {
+// plan admits what it can and returns the round's next step.
+// The end of the round and the last look at the waiting requests are one step, so that a request that arrives later starts the next round.
+func (l *Limiter) plan(a *account, r *roundState) roundStep {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := l.clock.Now()
-	owners := l.shardOwners(a.config)
 	a.serve(now)
-	requests := a.pool.PlanRequests(now, len(a.waiters), owners.names, since)
-	if len(requests) > 0 || len(a.waiters) == 0 {
-		return requests, owners, 0
+	a.refuseExpired(now)
+	owners := l.shardOwners(a.config)
+	requests := a.pool.PlanRequests(now, len(a.waiters), owners.names, r.since)
+	if len(requests) > 0 || r.pending.count > 0 {
+		return roundStep{requests: requests, owners: owners}
 	}
-	if w := a.pool.WaitTime(now); w <= maxEarnWait {
-		return nil, owners, w
+	if w := a.pool.WaitTime(now); len(a.waiters) > 0 && !r.paused && w <= maxEarnWait {
+		r.paused = true
+		return roundStep{pause: w}
 	}
-	return nil, owners, 0
-}
-
-func (l *Limiter) finish(a *account) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.serve(l.clock.Now())
-	for _, w := range a.waiters {
-		w <- false
+	a.refuseUpTo(r.lastWaiter)
+	if len(a.waiters) > 0 {
+		r.restart(now, a.lastWaiter)
+		return roundStep{}
 	}
-	a.waiters = nil
 	a.requesting = false
-}
-
-// serve admits waiting requests in order of arrival; the caller holds the account's lock.
-func (a *account) serve(now pomelo.Millis) {
-	for len(a.waiters) > 0 && a.pool.TryTake(now) {
-		a.waiters[0] <- true
-		a.waiters = a.waiters[1:]
-	}
+	return roundStep{done: true}
 }
 
 // requestTokens requests tokens from one owner and admits waiting requests with the granted ones.
