Follow: a new epoch seen by a watch makes the follower list the store anew

Cause: a follower whose watches were not cut while the store returned with an older state watches on from its own revision. When another node has repaired the store meanwhile, the watch delivers the record of the new epoch as a change like any other, and the follower stays at the old epoch, whose revisions can't be compared with the new ones. Ruled out: the repair itself (the other follower reached epoch 1), the backoff. Change: a watch that shows a higher epoch is dropped, and the store is listed. TestNewEpochBetweenWatches failed first.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -94,7 +94,7 @@
 		return nil
 	}
 	err := f.watch(ctx)
-	if pomelo.IsKind(err, pomelo.KindWatchCompacted) {
+	if pomelo.IsKind(err, pomelo.KindWatchCompacted) || errors.Is(err, errNewEpoch) {
 		*listed = false
 		return nil
 	}
@@ -108,6 +108,13 @@
 	if err != nil {
 		return err
 	}
+	epoch, err := epochOf(l)
+	if err != nil {
+		return err
+	}
+	if epoch > at.Epoch {
+		return errNewEpoch
+	}
 	f.recordStoreRead(requestedAt)
 	f.mirror.Merge(pomelo.RecordBatch{Records: l.Records, Position: pomelo.Position{Epoch: at.Epoch, Revision: l.Revision}})
 	return nil
@@ -160,4 +167,7 @@
 	return 0, nil
 }
 
+// errNewEpoch means that another node has repaired the store since the last watch: revisions of the two epochs can't be compared, so the store is listed again.
+var errNewEpoch = errors.New("the store has a new epoch")
+
 var errRelist = errors.New("the store returned with an older state; it is listed again after the repair")
