Platform store that returns from an older copy: positions, members, owners, policy

Cause: revisions were compared as numbers over a return. A lower one counted as proof that the members were current; a copy's list made members leave whose records it lacks, and let the next owners act at once though those members still acted; the beacon never wrote a record again whose lease the copy still had; a process that started meanwhile proved an older policy by its own read. Ruled out: terms given out twice (a term belongs to one incarnation). Change: Store-Era is the store's epoch. census keeps the members over a return, tenure decides who resigns, proof which reads prove the policy, owner what may be acted on; all pure. Peers are asked for a later policy once an epoch. platform/fake returns from a copy, with eras, lost leases, 410 for unknown revisions.

--- a/beacon/announcer.go
+++ b/beacon/announcer.go
@@ -6,7 +6,9 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/cockroachdb/errors"
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/tenure"
 )
 
 // Times in milliseconds.
@@ -34,7 +36,7 @@
 	revision  pomelo.Revision
 	isWritten bool
 	renewedAt pomelo.Millis
-	hadLease  bool
+	tenure    tenure.Tenure
 
 	// leaseExpiresAt is the earliest time, by the monotonic clock, at which the lease may expire.
 	leaseExpiresAt atomic.Int64
@@ -108,6 +110,7 @@
 
 // reconcile brings the lease and the record in the store up to date.
 func (a *Announcer) reconcile(ctx context.Context) error {
+	epoch := a.observeEpoch()
 	if err := a.ensureLease(ctx); err != nil {
 		return err
 	}
@@ -115,18 +118,61 @@
 	if a.isWritten && m == a.written {
 		return nil
 	}
-	return a.write(ctx, m)
+	if err := a.write(ctx, m); err != nil {
+		return err
+	}
+	if a.store.Epoch() != epoch {
+		a.isWritten = false
+		return errEpochChanged
+	}
+	if a.tenure.Written(a.clock.Monotonic()) {
+		a.resign("record_late")
+	}
+	return nil
+}
+
+// observeEpoch returns the store's epoch; in a new one the lease and the record may be gone or older, whatever was written before.
+func (a *Announcer) observeEpoch() int64 {
+	epoch := a.store.Epoch()
+	if !a.tenure.BeginEpoch(epoch) {
+		return epoch
+	}
+	a.log.Info("store_epoch", "epoch", epoch, "lease", a.leaseID)
+	a.isWritten = false
+	a.renewedAt = -a.leaseTTL
+	a.UpdateMember(func(m *pomelo.Member) {
+		m.SoleOwner = m.SoleOwner && m.Epoch == epoch
+		m.Epoch = epoch
+	})
+	return epoch
+}
+
+// StoreReturned has the record written again soon because the store has a new epoch.
+func (a *Announcer) StoreReturned() {
+	select {
+	case a.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (a *Announcer) resign(reason string) {
+	a.log.Warn("resigned", "reason", reason, "lease", a.leaseID)
+	a.UpdateMember(func(m *pomelo.Member) { m.Resign() })
 }
 
 // ensureLease renews the lease once a quarter of its TTL has passed, or acquires a new one.
 func (a *Announcer) ensureLease(ctx context.Context) error {
 	now := a.clock.Monotonic()
+	if a.tenure.Overdue(now) {
+		a.resign("store_returned")
+	}
 	if a.leaseID != 0 && now-a.renewedAt < a.leaseTTL/renewalsPerLease {
 		return nil
 	}
 	if a.leaseID != 0 {
 		err := a.store.Renew(ctx, a.leaseID)
 		if err == nil {
+			a.observeEpoch()
 			a.recordRenewal(now)
 			return nil
 		}
@@ -141,11 +187,11 @@
 	if err != nil {
 		return err
 	}
-	if a.hadLease {
+	a.observeEpoch()
+	if a.tenure.Lost() {
 		// Resources owned under the expired lease may have moved to other members.
-		a.UpdateMember(func(m *pomelo.Member) { m.Resign() })
+		a.resign("lease_lapsed")
 	}
-	a.hadLease = true
 	a.leaseID = id
 	a.recordRenewal(now)
 	a.revision = 0
@@ -155,7 +201,8 @@
 // recordRenewal records a renewal that was sent at the given time.
 func (a *Announcer) recordRenewal(now pomelo.Millis) {
 	a.renewedAt = now
-	a.leaseExpiresAt.Store(int64(now + a.leaseTTL))
+	a.tenure.Renewed(now, a.leaseTTL)
+	a.leaseExpiresAt.Store(int64(a.tenure.ExpiresAt()))
 }
 
 // LeaseExpiresAt returns the time, by the monotonic clock, until which the store keeps the record at least.
@@ -163,6 +210,9 @@
 	return pomelo.Millis(a.leaseExpiresAt.Load())
 }
 
+// errEpochChanged means that the store returned from a copy while the record was being written.
+var errEpochChanged = errors.New("the store has a new epoch; the record is written again")
+
 // write replaces any record of this VM: an existing one is from a previous process or a previous lease.
 func (a *Announcer) write(ctx context.Context, m pomelo.Member) error {
 	value, err := json.Marshal(m)
--- a/kvhttp/client.go
+++ b/kvhttp/client.go
@@ -58,6 +58,11 @@
 	}
 }
 
+// Epoch returns 0: the epoch of this store is a record, which package follow reads and writes.
+func (c *Client) Epoch() int64 {
+	return 0
+}
+
 // Get returns the record, or KindNotFound.
 func (c *Client) Get(ctx context.Context, key string) (pomelo.Record, error) {
 	var r pomelo.Record
--- a/mesh/components.go
+++ b/mesh/components.go
@@ -115,23 +115,26 @@
 }
 
 func newView(n *Node, c bootClock, b *beacon.Announcer, d *dialer.Pool, m *metric.Sink, log pomelo.Logger) *view.View {
-	return view.New(n.host.Store, c, log, n.host.PolicyKey, n.host.ParsePolicy, b.Member, view.WithPeers(d, m))
+	v := view.New(n.host.Store, c, log, n.host.PolicyKey, n.host.ParsePolicy, b.Member, view.WithPeers(d, m), view.WithMaxPolicyAge(n.settings.KeyMaxAge))
+	v.OnStoreReturn(b.StoreReturned)
+	return v
 }
 
-func newOwnerTracker(v *view.View, b *beacon.Announcer, c bootClock, log pomelo.Logger) *owner.Tracker {
+func newOwnerTracker(n *Node, v *view.View, b *beacon.Announcer, c bootClock, log pomelo.Logger) *owner.Tracker {
 	var t *owner.Tracker
-	requestRevision := func(m pomelo.Member) {
+	requestPosition := func(m pomelo.Member) {
 		go func() {
-			revision, err := v.RequestMembersRevision(context.Background(), m)
+			position, err := v.RequestMembersPosition(context.Background(), m)
 			if err != nil {
 				log.Debug("list_not_confirmed", "member", m.VM, "error", err.Error())
 				return
 			}
-			t.ConfirmRevision(m, revision)
+			t.ConfirmPosition(m, position)
 		}()
 	}
-	t = owner.New(v, c, b.LeaseExpiresAt, owner.WithRevisionRequest(requestRevision))
+	t = owner.New(v, c, b.LeaseExpiresAt, owner.WithPositionRequest(requestPosition), owner.WithFirstStart(n.settings.FirstStart))
 	v.OnChange(t.ApplyChange, t.ApplyRelist)
+	v.OnDrop(t.ApplyDrop)
 	return t
 }
 
@@ -173,6 +176,7 @@
 	s := listen.New(i, w, v, f, log, listen.WithFencer(f))
 	s.RegisterResponder(pomelo.MessageGrant, r.Answer)
 	s.RegisterResponder(pomelo.MessageGossip, v.Answer)
+	s.RegisterResponder(pomelo.MessagePolicy, v.AnswerPolicy)
 	return s
 }
 
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -100,7 +100,10 @@
 			continue
 		}
 		if m.SoleOwner {
-			n.components.Beacon.UpdateMember(func(x *pomelo.Member) { x.SoleOwner = !x.Draining })
+			n.components.Beacon.UpdateMember(func(x *pomelo.Member) {
+				x.SoleOwner = !x.Draining
+				x.Epoch = m.Epoch
+			})
 		}
 		n.components.Worker.Resume(pomelo.Instance{
 			ID:        m.UpstreamID,
@@ -213,13 +216,14 @@
 	n.components.Listen.Close()
 }
 
-// watchSoleOwnership marks the record once this process is the sole owner of its resources, so that the next process on the VM can act on them at once.
+// watchSoleOwnership marks the record once this process is the sole owner of its resources in the store's epoch, so that the next process on the VM can act on them at once.
 func (n *Node) watchSoleOwnership(ctx context.Context) {
 	for n.components.Clock.Sleep(ctx, ownershipPoll) == nil {
+		epoch := n.components.View.MembersPosition().Epoch
 		if m := n.components.Beacon.Member(); m.SoleOwner || m.Draining || !n.components.OwnerTracker.IsSoleOwner() {
 			continue
 		}
-		n.components.Beacon.UpdateMember(func(m *pomelo.Member) { m.SoleOwner = !m.Draining })
+		n.components.Beacon.UpdateMember(func(m *pomelo.Member) { m.SoleOwner = !m.Draining && m.Epoch == epoch })
 	}
 }
 
--- a/message.go
+++ b/message.go
@@ -20,6 +20,7 @@
 	MessageGrant     MessageKind = 22
 	MessageGossip    MessageKind = 30
 	MessageDrain     MessageKind = 31
+	MessagePolicy    MessageKind = 32
 )
 
 // Message is one framed message between nodes: an encoded head and a raw body, both fully read.
--- a/owner/confirm.go
+++ b/owner/confirm.go
@@ -13,41 +13,43 @@
 	return process{vm: m.VM, incarnation: m.Incarnation, term: m.Term}
 }
 
-// ConfirmRevision records that the member has applied the store's list up to the revision, so that it acts by that list or a later one.
-func (t *Tracker) ConfirmRevision(m pomelo.Member, revision pomelo.Revision) {
+// ConfirmPosition records that the member has applied the store's list up to the position, so that it acts by that list or a later one.
+func (t *Tracker) ConfirmPosition(m pomelo.Member, position pomelo.Position) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := processOf(m)
-	if revision <= t.confirmedRevision[p] {
+	if !t.confirmedPosition[p].Before(position) {
 		return
 	}
-	t.confirmedRevision[p] = revision
+	t.confirmedPosition[p] = position
 	clear(t.owned)
 }
 
-func (t *Tracker) hasConfirmed(m pomelo.Member, revision pomelo.Revision) bool {
-	return t.confirmedRevision[processOf(m)] >= revision
+// hasConfirmed reports whether the member has confirmed the position; a list of another epoch proves nothing about this one.
+func (t *Tracker) hasConfirmed(m pomelo.Member, position pomelo.Position) bool {
+	confirmed, ok := t.confirmedPosition[processOf(m)]
+	return ok && confirmed.Epoch == position.Epoch && !confirmed.Before(position)
 }
 
-// requestConfirmation asks a member to confirm its list revision, at most once per confirmInterval.
+// requestConfirmation asks a member to confirm its list position, at most once per confirmInterval.
 func (t *Tracker) requestConfirmation(m pomelo.Member, now pomelo.Millis) {
 	p := processOf(m)
 	if at, ok := t.requestedAt[p]; ok && now-at < confirmInterval {
 		return
 	}
 	t.requestedAt[p] = now
-	t.requestRevision(m)
+	t.requestPosition(m)
 }
 
-// allConfirmed reports whether every other member that may own resources has confirmed the list of the revision, and asks the others; members of a fleet larger than maxConfirmMembers are not asked.
-func (t *Tracker) allConfirmed(self pomelo.Member, revision pomelo.Revision, now pomelo.Millis) bool {
+// allConfirmed reports whether every other member that may own resources has confirmed the list of the position, and asks the others; members of a fleet larger than maxConfirmMembers are not asked, nor are those of a young epoch, in which the list may lack some.
+func (t *Tracker) allConfirmed(self pomelo.Member, position pomelo.Position, now pomelo.Millis) bool {
 	others := active(t.currentList())
-	if len(others) > maxConfirmMembers {
+	if len(others) > maxConfirmMembers || t.isYoung() {
 		return false
 	}
 	all := true
 	for _, m := range others {
-		if sameTerm(m, self) || t.hasConfirmed(m, revision) {
+		if sameTerm(m, self) || t.hasConfirmed(m, position) {
 			continue
 		}
 		all = false
@@ -64,9 +66,9 @@
 			listed[processOf(m)] = true
 		}
 	}
-	for p := range t.confirmedRevision {
+	for p := range t.confirmedPosition {
 		if !listed[p] {
-			delete(t.confirmedRevision, p)
+			delete(t.confirmedPosition, p)
 		}
 	}
 	for p := range t.requestedAt {
--- a/owner/epoch.go
+++ b/owner/epoch.go
@@ -12,10 +12,14 @@
 	list             []pomelo.Member
 	appliedMonotonic pomelo.Millis
 	appliedAt        pomelo.Millis
-	// revision is the store revision that the list has reached at least.
-	revision pomelo.Revision
+	// position is the state of the store that the list has reached at least.
+	position pomelo.Position
 	// relisted is true if owners between the previous list and this one may have been missed.
 	relisted bool
+	// young is true if the list may lack members that still act by a list of an earlier epoch of the store, or by one that this process has not seen.
+	young bool
+	// returned is set for the first list after the store returned from a copy.
+	returned *storeReturn
 }
 
 // owner returns the owner of the resource by the list of epoch i.
--- a/owner/exclusive_test.go
+++ b/owner/exclusive_test.go
@@ -109,7 +109,7 @@
 func (s *simulation) answer(n *node) {
 	for _, m := range n.requested {
 		if o := s.nodes[m.VM]; o.self.Incarnation == m.Incarnation {
-			n.tracker.ConfirmRevision(m, o.revision)
+			n.tracker.ConfirmPosition(m, pomelo.Position{Revision: o.revision})
 		}
 	}
 	n.requested = nil
--- a/owner/tracker.go
+++ b/owner/tracker.go
@@ -8,8 +8,10 @@
 
 // Times in milliseconds.
 const (
-	// maxListAge is the maximum age of the member list that an owner may act on, less than the 5 s for which keys count as fresh; a new owner waits for the same time before it acts on a resource whose previous owner is unresponsive.
-	maxListAge = pomelo.Millis(4_500)
+	// maxListAge is the maximum age of the member list that an owner may act on; a new owner waits for the same time before it acts on a resource whose previous owner is unresponsive.
+	maxListAge = pomelo.MaxMemberProofAge
+	// youngPeriod is the time after the first list of a store's epoch in which a member that the list lacks may still act by a list of the earlier epoch.
+	youngPeriod = maxListAge + 500
 	// maxUnseenGap is the longest gap, in which changes of the list may have been missed, after which the earlier epochs are retained: it is shorter than the time that a member needs to join, wait for an unresponsive owner, own a resource and be removed.
 	maxUnseenGap = pomelo.Millis(4_000)
 	// confirmInterval is the interval between two confirmation requests to one member: a few round trips within a region.
@@ -24,10 +26,10 @@
 // maxConfirmMembers is the largest number of members that a new member asks to confirm its list, so that its work does not grow with the fleet.
 const maxConfirmMembers = 32
 
-// Members provides the store's member list, the store revision that the list has reached, and the time since the list was last verified.
+// Members provides the store's member list, the state of the store that the list has reached, and the time since the list was last verified in an epoch in which this node's own record is known.
 type Members interface {
 	Current() []pomelo.Member
-	MembersRevision() pomelo.Revision
+	MembersPosition() pomelo.Position
 	MembersAge() pomelo.Millis
 	Self() pomelo.Member
 }
@@ -37,7 +39,8 @@
 	members         Members
 	clock           pomelo.MonotonicClock
 	leaseExpiresAt  func() pomelo.Millis
-	requestRevision func(pomelo.Member)
+	requestPosition func(pomelo.Member)
+	firstStart      bool
 
 	mu sync.Mutex
 	// epochs are the latest member lists, the newest last.
@@ -47,8 +50,10 @@
 	term  int64
 	// verifiedAt is the monotonic time at which the list was last known to be current.
 	verifiedAt pomelo.Millis
-	// confirmedRevision is the list revision that each process has confirmed, and requestedAt the monotonic time of the last request to it.
-	confirmedRevision map[process]pomelo.Revision
+	// youngUntil is the time that a proof of the list must reach before a member's absence from the list means that it has stopped.
+	youngUntil pomelo.Millis
+	// confirmedPosition is the list position that each process has confirmed, and requestedAt the monotonic time of the last request to it.
+	confirmedPosition map[process]pomelo.Position
 	requestedAt       map[process]pomelo.Millis
 }
 
@@ -60,6 +65,8 @@
 	// firstEpoch is the index of the epoch in which the ownership began; previousOwner owned the resource until then, and may still act on it until it confirms that list.
 	firstEpoch    int
 	previousOwner pomelo.Member
+	// isConfirmed is true if all that could act on the resource have confirmed the list, so that no later proof is needed.
+	isConfirmed bool
 }
 
 var _ pomelo.TimedOwnership = (*Tracker)(nil)
@@ -70,9 +77,9 @@
 		members:           members,
 		clock:             clock,
 		leaseExpiresAt:    leaseExpiresAt,
-		requestRevision:   func(pomelo.Member) {},
+		requestPosition:   func(pomelo.Member) {},
 		owned:             map[string]ownership{},
-		confirmedRevision: map[process]pomelo.Revision{},
+		confirmedPosition: map[process]pomelo.Position{},
 		requestedAt:       map[process]pomelo.Millis{},
 	}
 	for _, o := range opts {
@@ -81,32 +88,51 @@
 	return t
 }
 
-// WithRevisionRequest sets the function that asks a member which revision of the list it knows; its answer is passed to ConfirmRevision.
-func WithRevisionRequest(request func(pomelo.Member)) func(*Tracker) {
-	return func(t *Tracker) { t.requestRevision = request }
+// WithPositionRequest sets the function that asks a member which position of the list it knows; its answer is passed to ConfirmPosition.
+func WithPositionRequest(request func(pomelo.Member)) func(*Tracker) {
+	return func(t *Tracker) { t.requestPosition = request }
+}
+
+// WithFirstStart marks a process of a fleet that starts for the first time, in which no earlier process can act.
+func WithFirstStart(first bool) func(*Tracker) {
+	return func(t *Tracker) { t.firstStart = first }
 }
 
 // ApplyChange applies a new member list; it must be called for each change of the store's list, in order.
 func (t *Tracker) ApplyChange() {
-	t.apply(false)
+	t.apply(false, false)
+}
+
+// ApplyDrop applies a member list without members that have not announced themselves again after the store returned; other processes drop them at other times, so that the list does not show who acted in between.
+func (t *Tracker) ApplyDrop() {
+	t.apply(false, true)
 }
 
 // ApplyRelist applies a member list that was read anew, so that changes before it may have been missed. Records outlive maxUnseenGap: another member can have joined and been removed only in a longer gap, and an expiry of this node's own record is visible in the list.
 func (t *Tracker) ApplyRelist() {
-	t.apply(true)
+	t.apply(true, false)
 }
 
-func (t *Tracker) apply(relisted bool) {
+func (t *Tracker) apply(relisted, dropped bool) {
 	list := t.members.Current()
 	self := t.members.Self()
 	age := t.members.MembersAge()
-	revision := t.members.MembersRevision()
+	position := t.members.MembersPosition()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Monotonic()
 	t.verifiedAt = max(t.verifiedAt, now-age)
-	next := epoch{list: list, appliedMonotonic: now, appliedAt: t.clock.Now(), revision: revision, relisted: relisted}
+	next := epoch{list: list, appliedMonotonic: now, appliedAt: t.clock.Now(), position: position, relisted: relisted}
+	t.updateYoung(next, now)
+	next.young = dropped || t.isYoung()
 	switch {
+	case t.isReturn(next):
+		t.applyReturn(next, self, now)
+	case t.rejoinsAnew(next, self):
+		// Others may have dropped this process, and taken over, without a trace in the store.
+		next.young = true
+		t.youngUntil = now + youngPeriod
+		t.epochs = []epoch{next}
 	case relisted && (now-t.verifiedAt > maxUnseenGap || !sameRecord(t.currentList(), list, self.VM)):
 		t.epochs = []epoch{next}
 	case len(t.epochs) > 0 && sameActive(t.currentList(), list):
@@ -117,6 +143,7 @@
 	if len(t.epochs) > maxEpochs {
 		t.epochs = t.epochs[1:]
 	}
+	t.observeOwnRecord(next, self, now)
 	t.dropUnlisted()
 	clear(t.owned)
 }
@@ -156,6 +183,9 @@
 	if !ok {
 		return 0
 	}
+	if !o.isConfirmed && !t.isProvenSince(o.exclusiveFrom) {
+		return 0
+	}
 	return t.clock.Monotonic() - o.exclusiveFrom
 }
 
@@ -190,8 +220,9 @@
 		t.requestConfirmation(o.previousOwner, now)
 	}
 	e := t.epochs[o.firstEpoch]
-	if t.allConfirmed(t.members.Self(), e.revision, now) {
+	if t.allConfirmed(t.members.Self(), e.position, now) {
 		o.exclusiveFrom = e.appliedMonotonic
+		o.isConfirmed = true
 		t.owned[resource] = o
 	}
 }
@@ -204,27 +235,32 @@
 		return ownership{}
 	}
 	first := t.runStart(last, resource)
-	o := ownership{isOwner: true, firstEpoch: first, since: t.epochs[first].appliedAt, exclusiveFrom: t.exclusiveFrom(first, resource)}
+	from, isConfirmed := t.exclusiveFrom(first, resource)
+	o := ownership{isOwner: true, firstEpoch: first, since: t.epochs[first].appliedAt, exclusiveFrom: from, isConfirmed: isConfirmed}
 	if previous, ok := t.owner(first-1, resource); ok {
 		o.previousOwner = previous
 	}
-	return o
+	return t.afterReturns(o)
 }
 
-// exclusiveFrom returns the monotonic time after which no previous owner can act on the resource, for ownership that begins at epoch first.
-func (t *Tracker) exclusiveFrom(first int, resource string) pomelo.Millis {
-	at := t.epochs[first].appliedMonotonic
+// exclusiveFrom returns the monotonic time after which no previous owner can act on the resource, for ownership that begins at epoch first, and whether that is known without a later proof of the list.
+func (t *Tracker) exclusiveFrom(first int, resource string) (pomelo.Millis, bool) {
+	e := t.epochs[first]
 	if first == 0 {
 		if m, _ := t.owner(0, resource); m.SoleOwner {
-			return at
+			return e.appliedMonotonic, true
 		}
-		return at + maxListAge
+		return e.appliedMonotonic + maxListAge, false
 	}
 	previous, ok := t.owner(first-1, resource)
-	if !ok || t.epochs[first].relisted || !hasStopped(previous, t.epochs[first].list) && !t.hasConfirmed(previous, t.epochs[first].revision) {
-		return at + maxListAge
+	if !ok || e.relisted || e.young || !hasStopped(previous, e.list) && !t.hasConfirmed(previous, e.position) {
+		return e.appliedMonotonic + maxListAge, false
+	}
+	from, isConfirmed := t.exclusiveFrom(t.runStart(first-1, resource), resource)
+	if from <= e.appliedMonotonic {
+		return e.appliedMonotonic, true
 	}
-	return max(at, t.exclusiveFrom(t.runStart(first-1, resource), resource))
+	return from, isConfirmed
 }
 
 // IsSoleOwner reports whether no previous owner can still act on the resources that the list assigns to this process, and asks members that have not confirmed the list to do so.
@@ -239,9 +275,11 @@
 	if joined < 0 {
 		return false
 	}
-	now := t.clock.Monotonic()
-	if now > t.epochs[joined].appliedMonotonic+maxListAge {
+	if t.isYoung() {
+		return false
+	}
+	if t.verifiedAt > max(t.epochs[joined].appliedMonotonic, t.lastRejoin(joined))+maxListAge {
 		return true
 	}
-	return t.allConfirmed(self, t.epochs[joined].revision, now)
+	return t.allConfirmed(self, t.epochs[joined].position, t.clock.Monotonic())
 }
--- a/owner/tracker_test.go
+++ b/owner/tracker_test.go
@@ -29,8 +29,8 @@
 // Current returns the list as last read.
 func (n *node) Current() []pomelo.Member { return n.list }
 
-// MembersRevision returns the revision of the list as last read.
-func (n *node) MembersRevision() pomelo.Revision { return n.revision }
+// MembersPosition returns the position of the list as last read.
+func (n *node) MembersPosition() pomelo.Position { return pomelo.Position{Revision: n.revision} }
 
 // MembersAge returns the time since the last read began.
 func (n *node) MembersAge() pomelo.Millis { return n.clock.Monotonic() - n.verifiedAt }
@@ -41,7 +41,7 @@
 func newNode(k *clock.Clock, name string) *node {
 	n := &node{clock: k, verifiedAt: -1 << 40, leaseExpiresAt: 1 << 40, self: pomelo.Member{VM: name, Incarnation: name + "-1"}}
 	n.tracker = owner.New(n, k, func() pomelo.Millis { return n.leaseExpiresAt },
-		owner.WithRevisionRequest(func(m pomelo.Member) { n.requested = append(n.requested, m) }))
+		owner.WithPositionRequest(func(m pomelo.Member) { n.requested = append(n.requested, m) }))
 	return n
 }
 
@@ -182,11 +182,11 @@
 			convey.So(c.tracker.IsOwner(resource), convey.ShouldBeFalse)
 			convey.So(c.requested, convey.ShouldNotBeEmpty)
 			convey.So(c.requested[0].VM, convey.ShouldEqual, a.self.VM)
-			c.tracker.ConfirmRevision(a.self, c.revision-1)
+			c.tracker.ConfirmPosition(a.self, pomelo.Position{Revision: c.revision - 1})
 			convey.So(c.tracker.IsOwner(resource), convey.ShouldBeFalse)
 			a.read(c.list)
 			convey.So(a.tracker.IsOwner(resource), convey.ShouldBeFalse)
-			c.tracker.ConfirmRevision(a.self, c.revision)
+			c.tracker.ConfirmPosition(a.self, pomelo.Position{Revision: c.revision})
 			convey.So(c.tracker.IsOwner(resource), convey.ShouldBeTrue)
 		})
 		convey.Convey("stops before its own record may expire, so that the next owner need not wait", func() {
--- a/ownership.go
+++ b/ownership.go
@@ -45,3 +45,6 @@
 	// OwnedFor returns the minimum time that this node has owned the resource, in milliseconds by a monotonic clock, or 0 if it is not the owner.
 	OwnedFor(resource string) Millis
 }
+
+// MaxMemberProofAge is the highest age, in milliseconds, of a proof that a copy of the member list is current, by which an owner may still act; it is less than the 5 s for which keys count as fresh.
+const MaxMemberProofAge = Millis(4_500)
--- a/store.go
+++ b/store.go
@@ -26,14 +26,22 @@
 	Delete   bool     `json:"delete,omitempty"`
 }
 
-// Listing holds the records under a prefix at one revision of the whole store.
+// Listing holds the records under a prefix at one revision of the whole store; Epoch is 0 if the store does not report it.
 type Listing struct {
 	Records  []Record `json:"records"`
 	Revision Revision `json:"revision"`
+	Epoch    int64    `json:"-"`
+}
+
+// Position returns the state of the store that the listing shows.
+func (l Listing) Position() Position {
+	return Position{Epoch: l.Epoch, Revision: l.Revision}
 }
 
 // Store is the platform's key-value service; after KindStoreUnavailable, which any method may return, a write may or may not have taken effect.
 type Store interface {
+	// Epoch returns the highest epoch in any answer so far, which rises when the store returns with an older state; 0 if the store does not report it.
+	Epoch() int64
 	// Get returns KindNotFound when there is no such record.
 	Get(ctx context.Context, key string) (Record, error)
 	// List returns the records whose key starts with prefix, ordered by key.
--- a/view/members.go
+++ b/view/members.go
@@ -1,98 +1,6 @@
 package view
 
-import (
-	"slices"
-	"strings"
-
-	"github.com/pomeloworks/pomelo"
-)
-
-// members holds the member records by VM, and the records that expired within expiredRetention.
-type members struct {
-	current     map[string]pomelo.Member
-	expired     map[string]expiredMember
-	confirmed   bool
-	confirmedAt pomelo.Millis
-}
-
-// expiredMember is a member whose record left the store at expiredAt, by the monotonic clock.
-type expiredMember struct {
-	member    pomelo.Member
-	expiredAt pomelo.Millis
-}
-
-func newMembers() members {
-	return members{current: map[string]pomelo.Member{}, expired: map[string]expiredMember{}}
-}
-
-// confirm records that a store read that began at start showed the current members.
-func (s *members) confirm(start pomelo.Millis) {
-	s.confirmed = true
-	s.confirmedAt = max(s.confirmedAt, start)
-}
-
-// set stores a member's record and reports whether it changed.
-func (s *members) set(m pomelo.Member) bool {
-	delete(s.expired, m.VM)
-	if s.current[m.VM] == m {
-		return false
-	}
-	s.current[m.VM] = m
-	return true
-}
-
-// expire removes a current member and reports whether it was known; it retains a member that was not draining, since that one may still be alive.
-func (s *members) expire(vm string, now pomelo.Millis) bool {
-	m, ok := s.current[vm]
-	if !ok {
-		return false
-	}
-	delete(s.current, vm)
-	if !m.Draining {
-		s.expired[vm] = expiredMember{member: m, expiredAt: now}
-	}
-	return true
-}
-
-// replace applies a complete list of the members, expires all others and reports whether anything changed.
-func (s *members) replace(all []pomelo.Member, now pomelo.Millis) bool {
-	changed := false
-	listed := map[string]bool{}
-	for _, m := range all {
-		listed[m.VM] = true
-		changed = s.set(m) || changed
-	}
-	for vm := range s.current {
-		if !listed[vm] {
-			changed = s.expire(vm, now) || changed
-		}
-	}
-	return changed
-}
-
-// usable returns the current members and the expired ones that are still retained, ordered by VM.
-func (s *members) usable() []pomelo.Member {
-	out := make([]pomelo.Member, 0, len(s.current)+len(s.expired))
-	for _, m := range s.current {
-		out = append(out, m)
-	}
-	for _, e := range s.expired {
-		out = append(out, e.member)
-	}
-	slices.SortFunc(out, func(a, b pomelo.Member) int { return strings.Compare(a.VM, b.VM) })
-	return out
-}
-
-// dropExpired removes members that expired longer than expiredRetention ago, and reports whether there were any.
-func (s *members) dropExpired(now pomelo.Millis) bool {
-	before := len(s.expired)
-	for vm, e := range s.expired {
-		if now-e.expiredAt > expiredRetention {
-			delete(s.expired, vm)
-		}
-	}
-	return len(s.expired) != before
-}
+import "github.com/pomeloworks/pomelo"
 
 // memberIndex is an immutable index of the usable members.
 type memberIndex struct {
@@ -155,16 +63,11 @@
 	return out
 }
 
-// Current returns the members whose records are in the store.
+// Current returns the members whose records are in the store, or were there before it returned from a copy.
 func (v *View) Current() []pomelo.Member {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	out := make([]pomelo.Member, 0, len(v.members.current))
-	for _, m := range v.members.current {
-		out = append(out, m)
-	}
-	slices.SortFunc(out, func(a, b pomelo.Member) int { return strings.Compare(a.VM, b.VM) })
-	return out
+	return v.census.Current()
 }
 
 // ByFingerprint returns the member whose certificate has this fingerprint.
--- a/view/relay.go
+++ b/view/relay.go
@@ -19,28 +19,52 @@
 	maxRelayedAge = pomelo.Millis(1_200)
 )
 
-// Freshness reports to a peer how recent a member's copy of the policy and the member list is; each age is the time in milliseconds since the start of the store read that confirmed that part of the copy.
+// Freshness reports to a peer how recent a member's copy of the policy and the member list is; each age is the time in milliseconds since the start of the store read that proved that part of the copy.
 type Freshness struct {
 	PolicyVersion   int64           `cbor:"1,keyasint"`
 	PolicyAge       pomelo.Millis   `cbor:"2,keyasint"`
 	WatchedRevision pomelo.Revision `cbor:"3,keyasint"`
 	MembersAge      pomelo.Millis   `cbor:"4,keyasint"`
+	// Epoch is the store's epoch of both; EpochAge is the time since the member saw the store return to it, if Returned is set.
+	Epoch    int64         `cbor:"5,keyasint,omitempty"`
+	EpochAge pomelo.Millis `cbor:"6,keyasint,omitempty"`
+	Returned bool          `cbor:"7,keyasint,omitempty"`
 }
 
 // Answer implements pomelo.Responder: it returns this node's Freshness, or KindNotAuthoritative before the first read of the store.
 func (v *View) Answer(context.Context, pomelo.Member, func(any) error) (any, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !v.policyConfirmed || v.policy == nil || !v.members.confirmed {
+	policyAt, policyProven := v.proof.ProvenAt()
+	membersAt, membersProven := v.census.ProvenAt()
+	if !policyProven || v.policy == nil || !membersProven {
 		return nil, pomelo.NewFault(pomelo.KindNotAuthoritative, "this node has not read the store yet", "ask another node")
 	}
 	now := v.clock.Monotonic()
-	return Freshness{
+	f := Freshness{
 		PolicyVersion:   v.policy.Version(),
-		PolicyAge:       now - v.policyConfirmedAt,
-		WatchedRevision: v.watchedRevision,
-		MembersAge:      now - v.members.confirmedAt,
-	}, nil
+		PolicyAge:       now - policyAt,
+		WatchedRevision: v.census.Watched().Revision,
+		MembersAge:      now - membersAt,
+		Epoch:           v.census.Watched().Epoch,
+	}
+	f.EpochAge, f.Returned = v.proof.EpochAge(now)
+	return f, nil
+}
+
+// requestFreshness requests a peer's Freshness, and records what it shows about the store and the policy.
+func (v *View) requestFreshness(ctx context.Context, m pomelo.Member) (Freshness, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout.Duration())
+	defer cancel()
+	var r Freshness
+	if err := v.peers.Request(ctx, m, pomelo.MessageGossip, true, &r); err != nil {
+		return r, err
+	}
+	v.observeEpoch(r.Epoch)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.proof.ObservePeer(r.PolicyVersion, r.Epoch, r.EpochAge, r.Returned, v.clock.Monotonic())
+	return r, nil
 }
 
 // confirmByPeer requests a peer's freshness and reports whether it confirmed this node's copy, so that no read of the store is needed.
@@ -52,36 +76,34 @@
 	if !ok {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout.Duration())
-	defer cancel()
 	// The read behind the peer's reply began no earlier than the reply's age before this request.
 	start := v.clock.Monotonic()
-	var r Freshness
-	if err := v.peers.Request(ctx, p, pomelo.MessageGossip, true, &r); err != nil {
+	r, err := v.requestFreshness(ctx, p)
+	if err != nil {
 		v.metrics.Count("view.relay_failed", 1)
 		return false
 	}
+	if v.isBehind() && r.Returned {
+		v.requestPolicy(ctx, p)
+	}
 	return v.applyFreshness(r, start)
 }
 
-// RequestMembersRevision requests the revision that the member's watch of the member list has reached.
-func (v *View) RequestMembersRevision(ctx context.Context, m pomelo.Member) (pomelo.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout.Duration())
-	defer cancel()
-	var r Freshness
-	err := v.peers.Request(ctx, m, pomelo.MessageGossip, true, &r)
-	return r.WatchedRevision, err
+// RequestMembersPosition requests the position that the member's watch of the member list has reached.
+func (v *View) RequestMembersPosition(ctx context.Context, m pomelo.Member) (pomelo.Position, error) {
+	r, err := v.requestFreshness(ctx, m)
+	return pomelo.Position{Epoch: r.Epoch, Revision: r.WatchedRevision}, err
 }
 
-// applyFreshness confirms this node's copy by a peer's reply to a request sent at start; it reports false if the policy versions differ or an age is over maxRelayedAge.
+// applyFreshness confirms this node's copy by a peer's reply to a request sent at start; it reports false if the policy versions or the store's epochs differ or an age is over maxRelayedAge.
 func (v *View) applyFreshness(r Freshness, start pomelo.Millis) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.policy == nil || r.PolicyVersion != v.policy.Version() || r.PolicyAge > maxRelayedAge || r.MembersAge > maxRelayedAge {
+	if v.policy == nil || r.PolicyVersion != v.policy.Version() || r.Epoch != v.census.Watched().Epoch || r.PolicyAge > maxRelayedAge || r.MembersAge > maxRelayedAge {
 		return false
 	}
-	v.confirmPolicy(start - r.PolicyAge)
-	v.compareRevision(r.WatchedRevision, start-r.MembersAge)
+	v.confirmPolicy(r.Epoch, start-r.PolicyAge)
+	v.comparePosition(pomelo.Position{Epoch: r.Epoch, Revision: r.WatchedRevision}, start-r.MembersAge)
 	v.metrics.Count("view.relayed", 1)
 	return true
 }
--- a/view/view.go
+++ b/view/view.go
@@ -7,8 +7,11 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/cockroachdb/errors"
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/census"
 	"github.com/pomeloworks/pomelo/policy"
+	"github.com/pomeloworks/pomelo/proof"
 )
 
 // Times in milliseconds.
@@ -23,8 +26,6 @@
 	watchBatchDelay = pomelo.Millis(200)
 	// maxWatchLag is the longest time for which a watch may lack a change that a read has shown before the watch counts as unresponsive.
 	maxWatchLag = pomelo.Millis(400)
-	// expiredRetention is the time for which a member stays usable after its record expired: the store may refuse a live member for a long time, and calls soon detect a dead member.
-	expiredRetention = pomelo.Millis(30_000)
 	// outageThreshold is the time without a confirmation after which the next one is logged as the end of a store outage.
 	outageThreshold = pomelo.Millis(2_500)
 	// neverReadAge is the age before the first read.
@@ -40,21 +41,24 @@
 	parse     func([]byte) (pomelo.PolicySpec, error)
 	self      func() pomelo.Member
 
-	mu                sync.Mutex
-	policy            pomelo.Policy
-	policyConfirmedAt pomelo.Millis
-	policyConfirmed   bool
-	members           members
-	watchedRevision   pomelo.Revision
-	// membersRevision is the highest revision of a record or list that the members are based on.
-	membersRevision pomelo.Revision
-	watchLag        lag
-	cancelWatch     context.CancelFunc
-	onChange        []func()
-	onRelist        []func()
-	index           atomic.Pointer[memberIndex]
-	peers           pomelo.Peers
-	metrics         pomelo.Metrics
+	mu     sync.Mutex
+	policy pomelo.Policy
+	// policyValue is the policy as the store has it.
+	policyValue []byte
+	proof       *proof.Proof
+	census      *census.Census
+	watchLag    lag
+	// consultedEpoch is the epoch of the store in which peers were last asked for a later policy than the store's.
+	consultedEpoch int64
+	maxPolicyAge   pomelo.Millis
+	cancelWatch    context.CancelFunc
+	onChange       []func()
+	onRelist       []func()
+	onStoreReturn  []func()
+	onDrop         []func()
+	index          atomic.Pointer[memberIndex]
+	peers          pomelo.Peers
+	metrics        pomelo.Metrics
 	// requestCount counts the selected parents, so that they rotate; only Run uses it.
 	requestCount int
 	listed       chan struct{}
@@ -82,13 +86,14 @@
 		policyKey: policyKey,
 		parse:     parse,
 		self:      self,
-		members:   newMembers(),
+		census:    census.New(self().VM),
 		listed:    make(chan struct{}),
 	}
 	v.index.Store(newMemberIndex(nil))
 	for _, o := range opts {
 		o(v)
 	}
+	v.proof = proof.New(v.maxPolicyAge)
 	return v
 }
 
@@ -100,6 +105,21 @@
 	}
 }
 
+// WithMaxPolicyAge sets for how many milliseconds after its last proof a policy is used for keys.
+func WithMaxPolicyAge(d pomelo.Millis) func(*View) {
+	return func(v *View) { v.maxPolicyAge = d }
+}
+
+// OnStoreReturn registers a function that is called when the store has returned from a copy; it must be called before Run.
+func (v *View) OnStoreReturn(f func()) {
+	v.onStoreReturn = append(v.onStoreReturn, f)
+}
+
+// OnDrop registers a function that is called after members were dropped that did not announce themselves again after the store returned; it must be called before Run.
+func (v *View) OnDrop(f func()) {
+	v.onDrop = append(v.onDrop, f)
+}
+
 // OnChange registers change, called after each change of the members in order, and relisted, called after each new list, before which changes may have been missed; it must be called before Run.
 func (v *View) OnChange(change, relisted func()) {
 	v.onChange = append(v.onChange, change)
@@ -118,107 +138,149 @@
 	return v.policy, v.policy != nil
 }
 
-// Age returns the milliseconds since the start of the last read that confirmed the policy.
+// Age returns the milliseconds since the start of the last read that proved the policy to be current.
 func (v *View) Age() pomelo.Millis {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !v.policyConfirmed {
-		return neverReadAge
-	}
-	return v.clock.Monotonic() - v.policyConfirmedAt
+	return v.ageOf(v.proof.ProvenAt())
 }
 
-// MembersAge returns the milliseconds since the start of the last read that confirmed the members.
+// MembersAge returns the milliseconds since the start of the last read that proved the members to be current while this node's own record was among them.
 func (v *View) MembersAge() pomelo.Millis {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !v.members.confirmed {
+	return v.ageOf(v.census.OwnProofAt())
+}
+
+func (v *View) ageOf(at pomelo.Millis, known bool) pomelo.Millis {
+	if !known {
 		return neverReadAge
 	}
-	return v.clock.Monotonic() - v.members.confirmedAt
+	return v.clock.Monotonic() - at
 }
 
-// MembersRevision returns a store revision that the list of members has reached; the list may be newer.
-func (v *View) MembersRevision() pomelo.Revision {
+// MembersPosition returns a state of the store that the list of members has reached; the list may be newer.
+func (v *View) MembersPosition() pomelo.Position {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.membersRevision
+	return v.census.Position()
 }
 
 // Run reads and watches the store until the context ends.
 func (v *View) Run(ctx context.Context) {
 	go v.listAndWatch(ctx)
 	for ctx.Err() == nil {
-		delay := readInterval
-		if v.confirmByPeer(ctx) {
-			_ = v.clock.Sleep(ctx, delay)
-			continue
-		}
-		if err := v.read(ctx); err != nil {
-			v.log.Warn("store_read_failed", "age_ms", v.Age(), "error", err.Error())
-			delay = retryDelay
-		}
-		_ = v.clock.Sleep(ctx, delay)
+		_ = v.clock.Sleep(ctx, v.refresh(ctx))
 	}
 }
 
-// read confirms the policy, and the members as soon as the watch has reached the revision that was read.
+// refresh proves this node's copy by a peer's or by a read of the store, and returns the delay until the next time.
+func (v *View) refresh(ctx context.Context) pomelo.Millis {
+	defer v.dropMembers()
+	if v.confirmByPeer(ctx) {
+		return readInterval
+	}
+	if err := v.read(ctx); err != nil {
+		v.log.Warn("store_read_failed", "age_ms", v.Age(), "error", err.Error())
+		return retryDelay
+	}
+	if v.consult(ctx) {
+		return 0
+	}
+	return readInterval
+}
+
+// read proves the policy, and the members as soon as the watch has reached the revision that was read.
 func (v *View) read(ctx context.Context) error {
 	start := v.clock.Monotonic()
 	l, err := v.store.List(ctx, v.policyKey)
 	if err != nil {
 		return err
 	}
+	v.observeEpoch(l.Epoch)
 	for _, r := range l.Records {
 		v.adoptPolicy(r, "read")
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.confirmPolicy(start)
-	v.compareRevision(l.Revision, start)
-	if v.members.dropExpired(start) {
-		v.index.Store(newMemberIndex(v.members.usable()))
-	}
+	v.confirmPolicy(l.Epoch, start)
+	v.comparePosition(l.Position(), start)
 	return nil
 }
 
-// confirmPolicy records that a read that began at start showed the current policy; the mutex must be held.
-func (v *View) confirmPolicy(start pomelo.Millis) {
-	if v.policyConfirmed && start < v.policyConfirmedAt {
+// observeEpoch has the members listed anew, and others told, when the store has returned from a copy.
+func (v *View) observeEpoch(epoch int64) {
+	v.mu.Lock()
+	previous := v.proof.Epoch()
+	isNew := v.proof.ObserveEpoch(epoch, v.clock.Monotonic())
+	if isNew && v.cancelWatch != nil {
+		v.cancelWatch()
+	}
+	v.mu.Unlock()
+	if !isNew || previous == 0 {
+		return
+	}
+	v.log.Warn("store_returned", "epoch", epoch, "previous", previous, "policy_age_ms", v.Age(), "members_age_ms", v.MembersAge())
+	for _, f := range v.onStoreReturn {
+		f()
+	}
+}
+
+// confirmPolicy records that a read of the epoch that began at start showed the current policy; the mutex must be held.
+func (v *View) confirmPolicy(epoch int64, start pomelo.Millis) {
+	if v.policy == nil || v.needsConsultation() {
 		return
 	}
-	if !v.policyConfirmed || v.clock.Monotonic()-v.policyConfirmedAt > outageThreshold {
-		v.log.Info("store_regained", "revision", v.watchedRevision)
+	provenAt, known := v.proof.ProvenAt()
+	if !v.proof.Confirm(v.policy.Version(), epoch, start) {
+		return
+	}
+	if !known || v.clock.Monotonic()-provenAt > outageThreshold {
+		v.log.Info("store_regained", "epoch", epoch, "revision", v.census.Position().Revision, "version", v.policy.Version())
 	}
-	v.policyConfirmed = true
-	v.policyConfirmedAt = start
 }
 
-// compareRevision confirms the members if the watch has reached the revision, and otherwise cancels a watch that has become unresponsive; the mutex must be held.
-func (v *View) compareRevision(revision pomelo.Revision, start pomelo.Millis) {
-	if v.watchedRevision >= revision {
-		v.members.confirm(start)
+// comparePosition proves the members if the watch has reached the position, and otherwise cancels a watch that has become unresponsive; a position of another epoch proves nothing. The mutex must be held.
+func (v *View) comparePosition(at pomelo.Position, start pomelo.Millis) {
+	watched := v.census.Watched()
+	if at.Epoch != watched.Epoch {
+		return
+	}
+	if watched.Revision >= at.Revision {
+		v.census.Prove(start)
 		return
 	}
 	now := v.clock.Monotonic()
-	if v.watchLag.revision > v.watchedRevision && now-v.watchLag.detectedAt > maxWatchLag && v.cancelWatch != nil {
-		v.log.Warn("watch_silent", "watched", v.watchedRevision, "read", revision)
+	if v.watchLag.revision > watched.Revision && now-v.watchLag.detectedAt > maxWatchLag && v.cancelWatch != nil {
+		v.log.Warn("watch_silent", "watched", watched.Revision, "read", at.Revision)
 		v.cancelWatch()
 	}
-	if v.watchLag.revision <= v.watchedRevision {
-		v.watchLag = lag{revision: revision, readStart: start, detectedAt: now}
+	if v.watchLag.revision <= watched.Revision {
+		v.watchLag = lag{revision: at.Revision, readStart: start, detectedAt: now}
 	}
 }
 
 // advanceWatched records the watch's progress; the mutex must be held.
 func (v *View) advanceWatched(revision pomelo.Revision) {
-	v.watchedRevision = max(v.watchedRevision, revision)
-	if v.watchLag.revision > 0 && v.watchedRevision >= v.watchLag.revision {
-		v.members.confirm(v.watchLag.readStart)
+	v.census.Advance(revision)
+	if v.watchLag.revision > 0 && v.census.Watched().Revision >= v.watchLag.revision {
+		v.census.Prove(v.watchLag.readStart)
 		v.watchLag = lag{}
 	}
 }
 
+// dropMembers drops the members that have not been seen again for long enough after they expired, or after the store returned from a copy.
+func (v *View) dropMembers() {
+	v.mu.Lock()
+	now := v.clock.Monotonic()
+	dropped := v.census.DropCarried(now)
+	if v.census.DropExpired(now) {
+		v.index.Store(newMemberIndex(v.census.Usable()))
+	}
+	v.mu.Unlock()
+	v.publish(dropped, v.onDrop)
+}
+
 // listAndWatch lists the members and then watches for changes, and starts over when the watch ends.
 func (v *View) listAndWatch(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -237,11 +299,16 @@
 	if err != nil {
 		return err
 	}
+	v.observeEpoch(l.Epoch)
 	v.mu.Lock()
-	changed := v.members.replace(decodeAll(l.Records, v.log), v.clock.Monotonic())
-	v.membersRevision = max(v.membersRevision, l.Revision)
+	if l.Epoch < v.proof.Epoch() {
+		v.mu.Unlock()
+		return errors.Newf("the list is of the store's epoch %d, and %d has been seen", l.Epoch, v.proof.Epoch())
+	}
+	changed := v.census.Replace(decodeAll(l.Records, v.log), l.Position(), v.clock.Monotonic())
+	v.watchLag = lag{}
 	v.mu.Unlock()
-	v.log.Info("members_listed", "count", len(l.Records), "revision", l.Revision)
+	v.log.Info("members_listed", "count", len(l.Records), "epoch", l.Epoch, "revision", l.Revision)
 	first := false
 	v.listedOnce.Do(func() { first = true })
 	v.publish(changed || first, nil)
@@ -253,9 +320,7 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.watchedRevision = l.Revision
-	v.advanceWatched(l.Revision)
-	v.members.confirm(start)
+	v.census.Prove(start)
 	return nil
 }
 
@@ -264,20 +329,28 @@
 	for ctx.Err() == nil {
 		watching, cancel := context.WithCancel(ctx)
 		v.mu.Lock()
-		since := v.watchedRevision
+		since := v.census.Watched()
 		v.cancelWatch = cancel
+		returned := since.Epoch < v.proof.Epoch()
 		v.mu.Unlock()
-		l, err := v.store.Watch(watching, "", since, watchWait)
+		if returned {
+			cancel()
+			return
+		}
+		l, err := v.store.Watch(watching, "", since.Revision, watchWait)
 		cancel()
 		if pomelo.IsKind(err, pomelo.KindWatchCompacted) {
-			v.log.Warn("watch_compacted", "revision", since)
+			v.log.Warn("watch_compacted", "epoch", since.Epoch, "revision", since.Revision)
 			return
 		}
 		if err != nil {
-			v.log.Warn("watch_failed", "revision", since, "error", err.Error())
+			v.log.Warn("watch_failed", "epoch", since.Epoch, "revision", since.Revision, "error", err.Error())
 			_ = v.clock.Sleep(ctx, retryDelay)
 			continue
 		}
+		if v.observeEpoch(l.Epoch); l.Epoch != since.Epoch {
+			return
+		}
 		v.apply(l)
 		if len(l.Records) > 0 {
 			_ = v.clock.Sleep(ctx, watchBatchDelay)
@@ -303,15 +376,10 @@
 }
 
 func (v *View) applyMember(r pomelo.Record, now pomelo.Millis) bool {
+	c, ok := decode(r, v.log)
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	vm := strings.TrimPrefix(r.Key, pomelo.PrefixMember)
-	v.membersRevision = max(v.membersRevision, r.Revision)
-	if r.Deleted {
-		return v.members.expire(vm, now)
-	}
-	m, ok := decode(r, v.log)
-	return ok && v.members.set(m)
+	return ok && v.census.Apply(c, now)
 }
 
 // publish rebuilds the index of the members and calls the callbacks if the members have changed.
@@ -320,7 +388,7 @@
 		return
 	}
 	v.mu.Lock()
-	v.index.Store(newMemberIndex(v.members.usable()))
+	v.index.Store(newMemberIndex(v.census.Usable()))
 	v.mu.Unlock()
 	for _, f := range callbacks {
 		f()
@@ -334,7 +402,7 @@
 	}
 	spec, err := v.parse(r.Value)
 	if err != nil {
-		v.log.Warn("policy_unusable", "revision", r.Revision, "error", err.Error())
+		v.log.Warn("policy_unusable", "revision", r.Revision, "source", source, "error", err.Error())
 		return
 	}
 	v.mu.Lock()
@@ -343,25 +411,31 @@
 		return
 	}
 	v.policy = policy.New(spec)
+	v.policyValue = r.Value
 	v.log.Info("policy_adopted", "version", spec.Version, "revision", r.Revision, "source", source, "routes", len(spec.Routes), "accounts", len(spec.Accounts))
 }
 
-func decodeAll(records []pomelo.Record, log pomelo.Logger) []pomelo.Member {
-	var out []pomelo.Member
+func decodeAll(records []pomelo.Record, log pomelo.Logger) []census.Record {
+	var out []census.Record
 	for _, r := range records {
-		if m, ok := decode(r, log); ok {
-			out = append(out, m)
+		if c, ok := decode(r, log); ok {
+			out = append(out, c)
 		}
 	}
 	return out
 }
 
-func decode(r pomelo.Record, log pomelo.Logger) (pomelo.Member, bool) {
-	var m pomelo.Member
-	err := json.Unmarshal(r.Value, &m)
-	if err != nil || pomelo.PrefixMember+m.VM != r.Key {
+// decode returns the change of a member that the record describes; false if the record can't be read.
+func decode(r pomelo.Record, log pomelo.Logger) (census.Record, bool) {
+	c := census.Record{Revision: r.Revision, Deleted: r.Deleted}
+	if r.Deleted {
+		c.Member.VM = strings.TrimPrefix(r.Key, pomelo.PrefixMember)
+		return c, true
+	}
+	err := json.Unmarshal(r.Value, &c.Member)
+	if err != nil || pomelo.PrefixMember+c.Member.VM != r.Key {
 		log.Warn("member_unreadable", "key", r.Key, "revision", r.Revision)
-		return m, false
+		return c, false
 	}
-	return m, true
+	return c, true
 }
