Bounds for readers: upstreams, callers, peers and the store that send without an end

Cause: the upstream client handed http.ReadResponse an unbounded reader, read up to 64 MiB of a body whatever the VM's memory, and drained an answer to another call without an end; a message between nodes took its claimed length at once; the store's transport reads heads of 10 MiB; control listeners had no time for a body. Change: heads of one call 64 KiB in all; bodies to other calls 1 MiB in all; bodies of upstreams and callers out of one budget, an eighth of the VM's memory, half of it for one body, the first 64 KiB of each free; memory for messages as bytes arrive; 10 s for a peer's message. What is over a bound is closed at once: 502 that may have run towards the caller for an upstream's answer, 503 with Retry-After for a caller's body.

--- a/inlet/conn.go
+++ b/inlet/conn.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/budget"
 	"github.com/pomeloworks/pomelo/stack"
 )
 
@@ -22,6 +23,8 @@
 	// writeTimeout bounds the write of one reply, for a caller that does not read it.
 	writeTimeout    = pomelo.Millis(20_000)
 	readBufferBytes = 4 << 10
+	// retryAfterSeconds is the time after which the memory for bodies is free again: most bodies arrive within it.
+	retryAfterSeconds = "1"
 )
 
 // conn is one caller's connection; one goroutine reads its requests, another writes the replies in order.
@@ -111,7 +114,7 @@
 	if r.Header.Get("Expect") != "" && r.ContentLength != 0 {
 		_, _ = io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, int64(l.BodyBytes)))
+	body, err := c.server.budget.ReadAll(http.MaxBytesReader(nil, r.Body, int64(l.BodyBytes)))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, nil, bodyTooLarge()
@@ -157,7 +160,9 @@
 		ctx, cancel := context.WithCancel(c.ctx)
 		defer cancel()
 		defer context.AfterFunc(c.server.requestContext, cancel)()
-		s.reply <- c.server.handler(ctx, r, body)
+		reply := pomelo.Reply{Status: http.StatusBadGateway, Header: http.Header{}, Close: true}
+		c.server.guard.Run("request", "", func() { reply = c.server.handler(ctx, r, body) })
+		s.reply <- reply
 	}()
 }
 
@@ -167,6 +172,9 @@
 	switch {
 	case errors.As(err, &f):
 		c.refuse(http.StatusRequestEntityTooLarge)
+	case errors.Is(err, budget.ErrExhausted), errors.Is(err, budget.ErrBodyTooLarge):
+		c.server.metrics.Count("inlet.bodies_refused", 1)
+		c.refuse(http.StatusServiceUnavailable)
 	case errors.Is(err, errHeadTooLarge):
 		c.refuse(http.StatusRequestHeaderFieldsTooLarge)
 	case c.input.timedOut:
@@ -194,7 +202,11 @@
 	c.closing = true
 	c.mu.Unlock()
 	c.server.pending.Add(1)
-	s.reply <- pomelo.Reply{Status: status, Header: http.Header{}}
+	h := http.Header{}
+	if status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", retryAfterSeconds)
+	}
+	s.reply <- pomelo.Reply{Status: status, Header: h}
 	c.pipeline <- s
 }
 
--- a/inlet/server.go
+++ b/inlet/server.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/budget"
+	"github.com/pomeloworks/pomelo/guard"
 )
 
 // Limits that apply where the policy sets none.
@@ -17,6 +19,7 @@
 	defaultIdleTimeout = pomelo.Millis(15_000)
 	defaultHeadBytes   = 16 << 10
 	defaultBodyBytes   = 64 << 20
+	defaultBudgetBytes = 32 << 20
 	// acceptRetryDelay applies after a failed accept, such as when file descriptors run out.
 	acceptRetryDelay = pomelo.Millis(20)
 )
@@ -39,11 +42,13 @@
 	cancelRequests context.CancelFunc
 	pending        atomic.Int64
 	draining       atomic.Bool
+	budget         *budget.Budget
+	guard          *guard.Guard
 }
 
 // New returns a server that calls limits for each request.
 func New(clock pomelo.Clock, log pomelo.Logger, metrics pomelo.Metrics, handler Handler, limits func() pomelo.TrafficLimits, opts ...func(*Server)) *Server {
-	s := &Server{clock: clock, log: log, metrics: metrics, handler: handler, limits: limits, conns: map[*conn]bool{}}
+	s := &Server{clock: clock, log: log, metrics: metrics, handler: handler, limits: limits, conns: map[*conn]bool{}, budget: budget.New(defaultBudgetBytes), guard: guard.New(log)}
 	s.requestContext, s.cancelRequests = context.WithCancel(context.Background())
 	for _, o := range opts {
 		o(s)
@@ -51,6 +56,11 @@
 	return s
 }
 
+// WithBudget sets the budget for the bodies of requests.
+func WithBudget(b *budget.Budget) func(*Server) {
+	return func(s *Server) { s.budget = b }
+}
+
 // Start listens on the address and serves in the background; an address that can't be used is KindBadSettings.
 func (s *Server) Start(address string) error {
 	l, err := net.Listen("tcp", address)
--- a/listen/server.go
+++ b/listen/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/guard"
 	"github.com/pomeloworks/pomelo/ident"
 	"github.com/pomeloworks/pomelo/stack"
 	"github.com/pomeloworks/pomelo/wire"
@@ -18,6 +19,8 @@
 const (
 	idleTimeout       = 30 * time.Second
 	maxStreamsPerPeer = 1 << 16
+	// requestTimeout is the time for a peer to send one message, in milliseconds.
+	requestTimeout = pomelo.Millis(10_000)
 )
 
 const (
@@ -132,7 +135,7 @@
 		if err != nil {
 			return
 		}
-		go s.handleStream(st, from)
+		go s.handleStreamGuarded(st, from)
 	}
 }
 
@@ -172,10 +175,20 @@
 	return ok
 }
 
+// handleStreamGuarded resets the stream of a message whose handling panics, so that its sender does not wait for an answer.
+func (s *Server) handleStreamGuarded(st *quic.Stream, from pomelo.Member) {
+	if !guard.New(s.log).Run("peer_message", "", func() { s.handleStream(st, from) }) {
+		st.CancelRead(codeCanceled)
+		st.CancelWrite(codeCanceled)
+	}
+}
+
 func (s *Server) handleStream(st *quic.Stream, from pomelo.Member) {
 	stack.Grow()
 	defer func() { _ = st.Close() }()
+	_ = st.SetReadDeadline(time.Now().Add(requestTimeout.Duration()))
 	m, err := s.codec.Read(st)
+	_ = st.SetReadDeadline(time.Time{})
 	if err != nil {
 		s.log.Debug("message_unreadable", "error", err.Error())
 		st.CancelWrite(codeCanceled)
--- a/mesh/components.go
+++ b/mesh/components.go
@@ -7,9 +7,11 @@
 	"github.com/google/uuid"
 	"github.com/pomeloworks/pomelo"
 	"github.com/pomeloworks/pomelo/beacon"
+	"github.com/pomeloworks/pomelo/budget"
 	"github.com/pomeloworks/pomelo/clock"
 	"github.com/pomeloworks/pomelo/dialer"
 	"github.com/pomeloworks/pomelo/fence"
+	"github.com/pomeloworks/pomelo/guard"
 	"github.com/pomeloworks/pomelo/ident"
 	"github.com/pomeloworks/pomelo/inlet"
 	"github.com/pomeloworks/pomelo/intake"
@@ -45,9 +47,12 @@
 	maxAttempts = 6
 	// dialTimeout allows some ten round trips to a peer in the same region, in milliseconds.
 	dialTimeout = pomelo.Millis(250)
-	// headBytes and bodyBytes are the maximum sizes of the head and the body of a message between nodes.
+	// headBytes is the maximum size of the head of a message between nodes.
 	headBytes = 256 << 10
-	bodyBytes = 64 << 20
+	// bodyMemoryDivisor is the part of the VM's memory that bodies being read may use: they are held once more while they are sent on.
+	bodyMemoryDivisor = 8
+	// minBodyMemory is the memory for bodies, in bytes, on a VM that states no or very little memory.
+	minBodyMemory = 8 << 20
 )
 
 // bootClock goes on while the machine is suspended. It measures the age of keys, leases, ownership and grants.
@@ -80,7 +85,10 @@
 		func() bootClock { return bootClock{clock.New(clock.WithBoot())} },
 		func() *metric.Sink { return metric.New() },
 		ident.New,
-		func() *wire.Codec { return wire.New(wire.WithLimits(headBytes, bodyBytes)) },
+		func(n *Node) *budget.Budget {
+			return budget.New(max(minBodyMemory, int64(n.settings.MemoryBytes)/bodyMemoryDivisor))
+		},
+		func(b *budget.Budget) *wire.Codec { return wire.New(wire.WithLimits(headBytes, int(b.BodyLimit()))) },
 		func(n *Node, c *clock.Clock) *spool.Spool { return spool.New(n.output, c) },
 		newLogger,
 		newBeacon,
@@ -150,8 +158,8 @@
 	return queue.New(c, newSeed())
 }
 
-func newWorker(n *Node, c *clock.Clock, q *queue.Queue, b *beacon.Announcer, m *metric.Sink, log pomelo.Logger) *worker.Worker {
-	client := uplink.New(n.host.Dialect, c, m)
+func newWorker(n *Node, c *clock.Clock, q *queue.Queue, b *beacon.Announcer, bodies *budget.Budget, m *metric.Sink, log pomelo.Logger) *worker.Worker {
+	client := uplink.New(n.host.Dialect, c, m, uplink.WithBudget(bodies))
 	describe := func(i pomelo.Instance, serving bool) {
 		b.UpdateMember(func(x *pomelo.Member) {
 			x.Service = i.Service
@@ -168,8 +176,8 @@
 	return worker.New(c, q, client, m, log, describe)
 }
 
-func newFence(c *clock.Clock, w *worker.Worker) *fence.Table {
-	return fence.New(c, w)
+func newFence(c *clock.Clock, w *worker.Worker, log pomelo.Logger) *fence.Table {
+	return fence.New(c, guard.New(log).Handler(w))
 }
 
 func newListen(i *ident.Identity, w *wire.Codec, v *view.View, f *fence.Table, r *rates.Limiter, log pomelo.Logger) *listen.Server {
@@ -188,10 +196,11 @@
 
 func newIntake(n *Node, c *clock.Clock, v *view.View, r *rates.Limiter, s *send.Sender, w *worker.Worker, m *metric.Sink, log pomelo.Logger) *intake.Intake {
 	entryShedder := shed.New(c, s, m, shed.WithSeed(newSeed()))
-	return intake.New(c, n.host.Dialect, v, r, entryShedder, s, w, m, log, n.settings.Service, n.settings.KeyMaxAge)
+	g := guard.New(log)
+	return intake.New(c, n.host.Dialect, v, r, g.Handler(entryShedder), g.Handler(s), w, m, log, n.settings.Service, n.settings.KeyMaxAge)
 }
 
-func newInlet(c *clock.Clock, i *intake.Intake, v *view.View, m *metric.Sink, log pomelo.Logger) *inlet.Server {
+func newInlet(c *clock.Clock, i *intake.Intake, v *view.View, bodies *budget.Budget, m *metric.Sink, log pomelo.Logger) *inlet.Server {
 	limits := func() pomelo.TrafficLimits {
 		p, ok := v.Policy()
 		if !ok {
@@ -199,7 +208,7 @@
 		}
 		return p.Limits()
 	}
-	return inlet.New(c, log, m, i.Handle, limits)
+	return inlet.New(c, log, m, i.Handle, limits, inlet.WithBudget(bodies))
 }
 
 func newSeed() uint64 {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -17,6 +17,7 @@
 // Times in milliseconds.
 const (
 	readHeaderTimeout = pomelo.Millis(3_000)
+	readTimeout       = pomelo.Millis(6_000)
 	// readinessDelay is the time, in milliseconds, for which a stopping node still accepts requests: the platform probes readiness once a second and removes a node after two failed probes.
 	readinessDelay = pomelo.Millis(2_200)
 	// abortMargin is the time before the end of the grace period at which pending requests are canceled; it lies within the last sixth of the grace period.
@@ -30,6 +31,9 @@
 	loadLogInterval = pomelo.Millis(1_000)
 )
 
+// maxControlHeadBytes is the maximum size of the head of a heartbeat or a probe, in bytes.
+const maxControlHeadBytes = 16 << 10
+
 // Node is the process that runs next to an upstream on the users' platform.
 type Node struct {
 	settings    pomelo.HostSettings
@@ -140,7 +144,7 @@
 	if err != nil {
 		return pomelo.NewFault(pomelo.KindBadSettings, "can't listen: "+err.Error(), "check the addresses in the settings file")
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout.Duration()}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout.Duration(), ReadTimeout: readTimeout.Duration(), MaxHeaderBytes: maxControlHeadBytes}
 	n.servers = append(n.servers, s)
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/uplink/client.go
+++ b/uplink/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/budget"
 )
 
 // Times in milliseconds, and bytes.
@@ -22,28 +23,37 @@
 	// idleMargin is the time, in milliseconds, before the upstream's idle limit from which a connection is no longer reused.
 	idleMargin = pomelo.Millis(1_000)
 	// maxResponses limits the responses read for one call, with interim ones and those to other calls.
-	maxResponses     = 8
-	defaultBodyLimit = 64 << 20
+	maxResponses = 8
+	// maxHeadBytes limits the heads of all responses read for one call.
+	maxHeadBytes = 64 << 10
+	// maxStrayBytes limits the bodies of responses to other calls that are read and discarded for one call.
+	maxStrayBytes      = 1 << 20
+	defaultBudgetBytes = 32 << 20
 )
 
 // Client sends calls to one upstream at a time.
 type Client struct {
-	dialect   pomelo.Dialect
-	clock     pomelo.Clock
-	metrics   pomelo.Metrics
-	bodyLimit int64
-	pool      pool
+	dialect pomelo.Dialect
+	clock   pomelo.Clock
+	metrics pomelo.Metrics
+	budget  *budget.Budget
+	pool    pool
 }
 
 // New returns a client that connects on demand.
 func New(dialect pomelo.Dialect, clock pomelo.Clock, metrics pomelo.Metrics, opts ...func(*Client)) *Client {
-	cl := &Client{dialect: dialect, clock: clock, metrics: metrics, bodyLimit: defaultBodyLimit}
+	cl := &Client{dialect: dialect, clock: clock, metrics: metrics, budget: budget.New(defaultBudgetBytes)}
 	for _, o := range opts {
 		o(cl)
 	}
 	return cl
 }
 
+// WithBudget sets the budget for the bodies of responses.
+func WithBudget(b *budget.Budget) func(*Client) {
+	return func(cl *Client) { cl.budget = b }
+}
+
 // Do sends the call to the upstream and reads its complete response; a refusal says whether the call may have run.
 func (cl *Client) Do(ctx context.Context, u pomelo.Instance, c pomelo.Call) pomelo.Answer {
 	if ctx.Err() != nil {
@@ -98,10 +108,7 @@
 	if err != nil {
 		return pomelo.Refuse(e.call.ID, incompleteFault(ctx, err)), false
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, e.client.bodyLimit+1))
-	if err == nil && int64(len(body)) > e.client.bodyLimit {
-		err = errors.New("the answer is over the body limit")
-	}
+	body, err := e.client.budget.ReadAll(resp.Body)
 	info := e.client.dialect.DecodeResponse(e.call, resp.StatusCode, resp.Header)
 	if info.NotRun {
 		return pomelo.Refuse(e.call.ID, notRunFault(info)), err == nil && e.isReusable(resp)
@@ -150,22 +157,34 @@
 // readResponse skips interim responses and responses to other calls.
 func (e *exchange) readResponse() (*http.Response, error) {
 	r := &http.Request{Method: e.call.Method}
+	e.conn.input.remaining = maxHeadBytes
+	strayBytes := int64(maxStrayBytes)
 	for range maxResponses {
 		resp, err := http.ReadResponse(e.conn.reader, r)
+		if e.conn.input.exceeded {
+			return nil, errHeadTooLarge
+		}
 		if err != nil {
 			return nil, err
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
+		headBytes := e.conn.input.remaining
+		e.conn.input.remaining = unlimited
 		if !e.client.dialect.DecodeResponse(e.call, resp.StatusCode, resp.Header).Mismatched {
 			return resp, nil
 		}
 		e.unexpected = true
 		e.client.metrics.Count("uplink.stray_answers", 1)
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, strayBytes+1))
+		if err != nil {
 			return nil, err
 		}
+		if strayBytes -= n; strayBytes < 0 {
+			return nil, errors.New("the upstream's answers to other calls are too long")
+		}
+		e.conn.input.remaining = headBytes
 	}
 	return nil, errors.New("the upstream answered only other calls")
 }
--- a/uplink/conn.go
+++ b/uplink/conn.go
@@ -13,13 +13,15 @@
 // conn is one persistent connection; it carries one call at a time.
 type conn struct {
 	net.Conn
+	input  *limitedInput
 	reader *bufio.Reader
 	// reusableUntil is the time from which the upstream may close the connection as idle.
 	reusableUntil pomelo.Millis
 }
 
 func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, bufferBytes)}
+	l := &limitedInput{Reader: c, remaining: unlimited}
+	return &conn{Conn: c, input: l, reader: bufio.NewReaderSize(l, bufferBytes)}
 }
 
 // hasNoInput reports whether nothing has arrived since the last response, neither bytes nor the connection's end.
--- a/view/view.go
+++ b/view/view.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/pomeloworks/pomelo"
 	"github.com/pomeloworks/pomelo/census"
+	"github.com/pomeloworks/pomelo/guard"
 	"github.com/pomeloworks/pomelo/policy"
 	"github.com/pomeloworks/pomelo/proof"
 )
@@ -400,7 +401,7 @@
 	if r.Key != v.policyKey || r.Deleted {
 		return
 	}
-	spec, err := v.parse(r.Value)
+	spec, err := v.parsePolicy(r.Value)
 	if err != nil {
 		v.log.Warn("policy_unusable", "revision", r.Revision, "source", source, "error", err.Error())
 		return
@@ -415,6 +416,16 @@
 	v.log.Info("policy_adopted", "version", spec.Version, "revision", r.Revision, "source", source, "routes", len(spec.Routes), "accounts", len(spec.Accounts))
 }
 
+// parsePolicy parses a policy that may hold anything.
+func (v *View) parsePolicy(value []byte) (pomelo.PolicySpec, error) {
+	var spec pomelo.PolicySpec
+	err := errPolicyPanic
+	guard.New(v.log).Run("policy", "", func() { spec, err = v.parse(value) })
+	return spec, err
+}
+
+var errPolicyPanic = errors.New("reading the policy ended unexpectedly")
+
 func decodeAll(records []pomelo.Record, log pomelo.Logger) []census.Record {
 	var out []census.Record
 	for _, r := range records {
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -16,6 +16,7 @@
 	maxIDBytes       = 256
 	defaultHeadBytes = 64 << 10
 	defaultBodyBytes = 1 << 20
+	firstReadBytes   = 64 << 10
 )
 
 // Codec writes and reads messages within its limits; it is safe for concurrent use.
@@ -96,8 +97,8 @@
 	if err := c.checkLimits(int(head), int(body)); err != nil {
 		return pomelo.Message{}, err
 	}
-	b := make([]byte, int(head)+int(body))
-	if _, err := io.ReadFull(r, b); err != nil {
+	b, err := readExactly(r, int(head)+int(body))
+	if err != nil {
 		return pomelo.Message{}, truncatedFault(err)
 	}
 	id, err := c.readID(r)
@@ -112,6 +113,22 @@
 	}, nil
 }
 
+// readExactly reads n bytes; memory is taken as they arrive, since a length is only a claim until then.
+func readExactly(r io.Reader, n int) ([]byte, error) {
+	b := make([]byte, 0, min(n, firstReadBytes))
+	for len(b) < n {
+		if len(b) == cap(b) {
+			b = append(make([]byte, 0, min(n, 2*cap(b))), b...)
+		}
+		read, err := io.ReadFull(r, b[len(b):cap(b)])
+		b = b[:len(b)+read]
+		if err != nil {
+			return nil, err
+		}
+	}
+	return b, nil
+}
+
 // Decode decodes the message's head into head, a pointer; it returns KindProtocol if the head is invalid.
 func (c *Codec) Decode(m pomelo.Message, head any) error {
 	if err := c.decoder.Unmarshal(m.Head, head); err != nil {
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/guard"
 	"github.com/pomeloworks/pomelo/uplink"
 )
 
@@ -19,6 +20,7 @@
 	metrics  pomelo.Metrics
 	log      pomelo.Logger
 	onChange func(pomelo.Instance, bool)
+	guard    *guard.Guard
 
 	mu       sync.Mutex
 	state    state
@@ -36,6 +38,7 @@
 		metrics:  metrics,
 		log:      log,
 		onChange: onChange,
+		guard:    guard.New(log),
 		running:  map[string]*runningCall{},
 	}
 	for _, o := range opts {
@@ -173,7 +176,9 @@
 		return w.refuse(c, pomelo.FaultOf(err), arrived)
 	}
 	started := w.clock.Now()
-	a := w.run(ctx, c)
+	// A panic must not keep the permit.
+	a := pomelo.Refuse(c.ID, guard.Fault())
+	w.guard.Run("upstream_call", c.ID, func() { a = w.run(ctx, c) })
 	runTime := w.clock.Now() - started
 	permit.Release(runTime, a.Refusal == nil)
 	w.metrics.Time("worker.wait", float64(started-arrived))
