Outage: one notion of the store being away a node, with pauses and one attempt at a time

Ruled out: renewals, which cost a tenth. A watch that tries has no wait. A node that asks a peer first still does.

--- a/beacon/announcer.go
+++ b/beacon/announcer.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/outage"
 	"github.com/pomeloworks/pomelo/tenure"
 )
 
@@ -16,7 +18,10 @@
 	// defaultLeaseTTL minus the renewal interval is the time, in milliseconds, for which ownership of resources continues during a store outage: about the time for which keys count as fresh.
 	defaultLeaseTTL  = pomelo.Millis(6_000)
 	renewalsPerLease = 4
-	retryDelay       = pomelo.Millis(200)
+	// retryDelay is the delay after a call that failed although the store answers.
+	retryDelay = pomelo.Millis(200)
+	// awayPoll is the interval of checks whether the store may be called again.
+	awayPoll = pomelo.Millis(50)
 )
 
 // Announcer keeps one member's record in the store, and writes it again whenever it changes or its lease expires.
@@ -25,6 +30,7 @@
 	clock    pomelo.MonotonicClock
 	log      pomelo.Logger
 	leaseTTL pomelo.Millis
+	outage   *outage.Outage
 
 	mu      sync.Mutex
 	member  pomelo.Member
@@ -44,7 +50,7 @@
 
 // New returns an announcer of the member; it writes nothing before Run.
 func New(store pomelo.Store, clock pomelo.MonotonicClock, log pomelo.Logger, m pomelo.Member, opts ...func(*Announcer)) *Announcer {
-	a := &Announcer{store: store, clock: clock, log: log, leaseTTL: defaultLeaseTTL, member: m, changed: make(chan struct{}, 1)}
+	a := &Announcer{store: store, clock: clock, log: log, leaseTTL: defaultLeaseTTL, member: m, changed: make(chan struct{}, 1), outage: outage.New()}
 	for _, o := range opts {
 		o(a)
 	}
@@ -56,6 +62,11 @@
 	return func(a *Announcer) { a.leaseTTL = d }
 }
 
+// WithOutage shares what is known about the store being away.
+func WithOutage(o *outage.Outage) func(*Announcer) {
+	return func(a *Announcer) { a.outage = o }
+}
+
 // Member returns the record that the store should hold.
 func (a *Announcer) Member() pomelo.Member {
 	a.mu.Lock()
@@ -82,11 +93,23 @@
 // Run keeps the record in the store until the context ends; afterwards it expires with its lease, or the VM's next process replaces it.
 func (a *Announcer) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if !a.outage.Allow(a.clock.Monotonic()) {
+			_ = a.clock.Sleep(ctx, awayPoll)
+			continue
+		}
+		away := a.outage.IsAway()
+		if away {
+			// A renewal shows whether the store is back.
+			a.renewedAt = -a.leaseTTL
+		}
 		err := a.reconcile(ctx)
 		if pomelo.IsKind(err, pomelo.KindConflict) && a.revision != 0 {
 			// The conflicting record was written by the VM's previous process and is to be replaced.
 			err = a.reconcile(ctx)
 		}
+		if away || err != nil {
+			a.outage.Record(err, a.clock.Monotonic(), rand.Float64())
+		}
 		if err != nil {
 			a.log.Warn("announce_failed", "lease", a.leaseID, "error", err.Error())
 		}
@@ -96,10 +119,14 @@
 
 func (a *Announcer) wait(ctx context.Context, err error) {
 	interval := a.leaseTTL / renewalsPerLease
-	if err != nil {
+	if err != nil && !pomelo.IsKind(err, pomelo.KindStoreUnavailable) {
 		_ = a.clock.Sleep(ctx, retryDelay)
 		return
 	}
+	if err != nil {
+		_ = a.clock.Sleep(ctx, awayPoll)
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, interval.Duration())
 	defer cancel()
 	select {
--- a/mesh/components.go
+++ b/mesh/components.go
@@ -18,6 +18,7 @@
 	"github.com/pomeloworks/pomelo/listen"
 	"github.com/pomeloworks/pomelo/logs"
 	"github.com/pomeloworks/pomelo/metric"
+	"github.com/pomeloworks/pomelo/outage"
 	"github.com/pomeloworks/pomelo/owner"
 	"github.com/pomeloworks/pomelo/place"
 	"github.com/pomeloworks/pomelo/queue"
@@ -91,6 +92,7 @@
 		func(b *budget.Budget) *wire.Codec { return wire.New(wire.WithLimits(headBytes, int(b.BodyLimit()))) },
 		func(n *Node, c *clock.Clock) *spool.Spool { return spool.New(n.output, c) },
 		newLogger,
+		outage.New,
 		newBeacon,
 		newView,
 		newOwnerTracker,
@@ -111,7 +113,7 @@
 	return logs.New(s, logs.WithFields("vm", n.settings.VM), logs.WithClock(c))
 }
 
-func newBeacon(n *Node, c bootClock, i *ident.Identity, log pomelo.Logger) *beacon.Announcer {
+func newBeacon(n *Node, c bootClock, i *ident.Identity, o *outage.Outage, log pomelo.Logger) *beacon.Announcer {
 	m := pomelo.Member{
 		VM:               n.settings.VM,
 		AvailabilityZone: n.settings.AvailabilityZone,
@@ -119,11 +121,11 @@
 		Address:          n.settings.PeerAddress,
 		Fingerprint:      i.Fingerprint(),
 	}
-	return beacon.New(n.host.Store, c, log, m)
+	return beacon.New(n.host.Store, c, log, m, beacon.WithOutage(o))
 }
 
-func newView(n *Node, c bootClock, b *beacon.Announcer, d *dialer.Pool, m *metric.Sink, log pomelo.Logger) *view.View {
-	v := view.New(n.host.Store, c, log, n.host.PolicyKey, n.host.ParsePolicy, b.Member, view.WithPeers(d, m), view.WithMaxPolicyAge(n.settings.KeyMaxAge))
+func newView(n *Node, c bootClock, b *beacon.Announcer, d *dialer.Pool, m *metric.Sink, o *outage.Outage, log pomelo.Logger) *view.View {
+	v := view.New(n.host.Store, c, log, n.host.PolicyKey, n.host.ParsePolicy, b.Member, view.WithPeers(d, m), view.WithMaxPolicyAge(n.settings.KeyMaxAge), view.WithOutage(o))
 	v.OnStoreReturn(b.StoreReturned)
 	return v
 }
--- a/view/view.go
+++ b/view/view.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 	"github.com/pomeloworks/pomelo"
 	"github.com/pomeloworks/pomelo/census"
 	"github.com/pomeloworks/pomelo/guard"
+	"github.com/pomeloworks/pomelo/outage"
 	"github.com/pomeloworks/pomelo/policy"
 	"github.com/pomeloworks/pomelo/proof"
 )
@@ -21,6 +23,8 @@
 	readInterval = pomelo.Millis(700)
 	// retryDelay is the delay after a failed call of the store.
 	retryDelay = pomelo.Millis(250)
+	// awayPoll is the interval of checks whether the store may be called again.
+	awayPoll = pomelo.Millis(50)
 	// watchWait is below the store's maximum wait of 30 s.
 	watchWait = pomelo.Millis(25_000)
 	// watchBatchDelay lets changes that occur close together arrive in one watch response.
@@ -60,6 +64,7 @@
 	index          atomic.Pointer[memberIndex]
 	peers          pomelo.Peers
 	metrics        pomelo.Metrics
+	outage         *outage.Outage
 	// requestCount counts the selected parents, so that they rotate; only Run uses it.
 	requestCount int
 	listed       chan struct{}
@@ -89,6 +94,7 @@
 		self:      self,
 		census:    census.New(self().VM),
 		listed:    make(chan struct{}),
+		outage:    outage.New(),
 	}
 	v.index.Store(newMemberIndex(nil))
 	for _, o := range opts {
@@ -111,6 +117,11 @@
 	return func(v *View) { v.maxPolicyAge = d }
 }
 
+// WithOutage shares what is known about the store being away.
+func WithOutage(o *outage.Outage) func(*View) {
+	return func(v *View) { v.outage = o }
+}
+
 // OnStoreReturn registers a function that is called when the store has returned from a copy; it must be called before Run.
 func (v *View) OnStoreReturn(f func()) {
 	v.onStoreReturn = append(v.onStoreReturn, f)
@@ -179,9 +190,15 @@
 func (v *View) refresh(ctx context.Context) pomelo.Millis {
 	defer v.dropMembers()
 	if v.confirmByPeer(ctx) {
+		v.outage.Hint(v.clock.Monotonic(), rand.Float64())
 		return readInterval
 	}
-	if err := v.read(ctx); err != nil {
+	if !v.outage.Allow(v.clock.Monotonic()) {
+		return retryDelay
+	}
+	err := v.read(ctx)
+	v.record(err)
+	if err != nil {
 		v.log.Warn("store_read_failed", "age_ms", v.Age(), "error", err.Error())
 		return retryDelay
 	}
@@ -191,6 +208,19 @@
 	return readInterval
 }
 
+func (v *View) record(err error) {
+	v.outage.Record(err, v.clock.Monotonic(), rand.Float64())
+}
+
+// awaitStore waits until this node may call the store, and reports whether it has been away, so that the call's result must be known soon.
+func (v *View) awaitStore(ctx context.Context) bool {
+	away := v.outage.IsAway()
+	for !v.outage.Allow(v.clock.Monotonic()) && ctx.Err() == nil {
+		_ = v.clock.Sleep(ctx, awayPoll)
+	}
+	return away
+}
+
 // read proves the policy, and the members as soon as the watch has reached the revision that was read.
 func (v *View) read(ctx context.Context) error {
 	start := v.clock.Monotonic()
@@ -285,9 +315,12 @@
 // listAndWatch lists the members and then watches for changes, and starts over when the watch ends.
 func (v *View) listAndWatch(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := v.list(ctx); err != nil {
+		_ = v.awaitStore(ctx)
+		err := v.list(ctx)
+		v.record(err)
+		if err != nil {
 			v.log.Warn("store_list_failed", "error", err.Error())
-			_ = v.clock.Sleep(ctx, retryDelay)
+			_ = v.clock.Sleep(ctx, awayPoll)
 			continue
 		}
 		v.watch(ctx)
@@ -328,6 +361,10 @@
 // watch applies changes until the member records must be listed again.
 func (v *View) watch(ctx context.Context) {
 	for ctx.Err() == nil {
+		wait := watchWait
+		if v.awaitStore(ctx) {
+			wait = 0
+		}
 		watching, cancel := context.WithCancel(ctx)
 		v.mu.Lock()
 		since := v.census.Watched()
@@ -338,15 +375,19 @@
 			cancel()
 			return
 		}
-		l, err := v.store.Watch(watching, "", since.Revision, watchWait)
+		l, err := v.store.Watch(watching, "", since.Revision, wait)
+		cut := watching.Err() != nil
 		cancel()
+		if !cut {
+			v.record(err)
+		}
 		if pomelo.IsKind(err, pomelo.KindWatchCompacted) {
 			v.log.Warn("watch_compacted", "epoch", since.Epoch, "revision", since.Revision)
 			return
 		}
 		if err != nil {
 			v.log.Warn("watch_failed", "epoch", since.Epoch, "revision", since.Revision, "error", err.Error())
-			_ = v.clock.Sleep(ctx, retryDelay)
+			_ = v.clock.Sleep(ctx, awayPoll)
 			continue
 		}
 		if v.observeEpoch(l.Epoch); l.Epoch != since.Epoch {
