View: the next watch waits longer while the changes of a whole fleet arrive

Cause: each change of a record wakes every node's watch. Change: the delay after changes grows from 200 to 600 ms while they go on, and starts at 200 ms again after a second without any. A first change is still read at once. Ruled out for now: fewer watches (children that wait at their parents), a larger change.

--- a/view/view.go
+++ b/view/view.go
@@ -27,8 +27,6 @@
 	awayPoll = pomelo.Millis(50)
 	// watchWait is below the store's maximum wait of 30 s.
 	watchWait = pomelo.Millis(25_000)
-	// watchBatchDelay lets changes that occur close together arrive in one watch response.
-	watchBatchDelay = pomelo.Millis(200)
 	// maxWatchLag is the longest time for which a watch may lack a change that a read has shown before the watch counts as unresponsive.
 	maxWatchLag = pomelo.Millis(400)
 	// outageThreshold is the time without a confirmation after which the next one is logged as the end of a store outage.
@@ -360,6 +358,7 @@
 
 // watch applies changes until the member records must be listed again.
 func (v *View) watch(ctx context.Context) {
+	var changes batch
 	for ctx.Err() == nil {
 		wait := watchWait
 		if v.awaitStore(ctx) {
@@ -395,7 +394,7 @@
 		}
 		v.apply(l)
 		if len(l.Records) > 0 {
-			_ = v.clock.Sleep(ctx, watchBatchDelay)
+			_ = v.clock.Sleep(ctx, changes.next(v.clock.Monotonic()))
 		}
 	}
 }
