Follow: what only another node knew of is restored as well after a store came back older

Cause: the node that repairs the store may not have read the last write. It restores a record less, so that its epoch takes the revision from which another node watches on; that node never sees the epoch, and the write that only it knew is lost. A withdrawal could be undone so. Ruled out: the backoff, watches that were not cut. Change: the stand-in's lists and watches tell how often the store came back; a follower that sees it change lists anew. The epoch record says up to which revision its writer knew the configuration; a node that knew more restores the rest, but for what was written since. TestUnreadLastWrite failed first.

--- a/fakekv/handler.go
+++ b/fakekv/handler.go
@@ -28,6 +28,7 @@
 	var l pomelo.Listing
 	err := s.withState(func(pomelo.Millis) error {
 		l = s.state.list(r.URL.Query().Get("prefix"))
+		l.Epoch = s.epoch
 		return nil
 	})
 	return l, err
--- a/fakekv/server.go
+++ b/fakekv/server.go
@@ -20,8 +20,10 @@
 	engine *gin.Engine
 	clock  pomelo.Clock
 
-	mu       sync.Mutex
-	state    *state
+	mu    sync.Mutex
+	state *state
+	// epoch counts the calls of Restore.
+	epoch    int64
 	counters counters
 	fault    pomelo.StoreFault
 	// changed is closed and replaced when the state changes, watchesDropped when the connections of watches are to be closed.
--- a/fakekv/snapshot.go
+++ b/fakekv/snapshot.go
@@ -46,6 +46,7 @@
 		next.leases = p.Leases
 	}
 	s.state = next
+	s.epoch++
 	s.wake()
 	return nil
 }
--- a/fakekv/watch.go
+++ b/fakekv/watch.go
@@ -60,6 +60,7 @@
 	err := s.withState(func(pomelo.Millis) (err error) {
 		w.changed = s.changed
 		l, err = s.state.changes(w.prefix, w.since)
+		l.Epoch = s.epoch
 		return err
 	})
 	return l, err
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -21,12 +21,14 @@
 
 // Follower reads the store into a mirror.
 type Follower struct {
-	store       pomelo.Store
-	mirror      *mirror.Mirror
-	clock       pomelo.Clock
-	log         pomelo.Logger
-	watchWait   pomelo.Millis
-	shouldRead  func() bool
+	store      pomelo.Store
+	mirror     *mirror.Mirror
+	clock      pomelo.Clock
+	log        pomelo.Logger
+	watchWait  pomelo.Millis
+	shouldRead func() bool
+	// storeEpoch is the epoch that the store reported with the last list; only Run uses it.
+	storeEpoch  int64
 	mu          sync.Mutex
 	storeReadAt pomelo.Millis
 }
@@ -112,7 +114,7 @@
 	if err != nil {
 		return err
 	}
-	if epoch > at.Epoch {
+	if epoch.Epoch > at.Epoch || l.Epoch != f.storeEpoch {
 		return errNewEpoch
 	}
 	f.recordStoreRead(requestedAt)
@@ -130,11 +132,16 @@
 	if err != nil {
 		return err
 	}
-	if epoch <= f.mirror.Position().Epoch && f.isRolledBack(l) {
+	at := f.mirror.Position()
+	if epoch.Epoch <= at.Epoch && f.isRolledBack(l) {
 		return f.repair(ctx, l)
 	}
+	if epoch.Epoch == at.Epoch+1 && epoch.Known < at.Revision {
+		return f.complete(ctx, l, epoch)
+	}
+	f.storeEpoch = l.Epoch
 	f.recordStoreRead(requestedAt)
-	f.mirror.Merge(pomelo.RecordBatch{Records: l.Records, Position: pomelo.Position{Epoch: epoch, Revision: l.Revision}, Full: true})
+	f.mirror.Merge(pomelo.RecordBatch{Records: l.Records, Position: pomelo.Position{Epoch: epoch.Epoch, Revision: l.Revision}, Full: true})
 	return nil
 }
 
@@ -158,16 +165,16 @@
 	f.storeReadAt = max(f.storeReadAt, requestedAt)
 }
 
-func epochOf(l pomelo.Listing) (int64, error) {
+func epochOf(l pomelo.Listing) (epochRecord, error) {
 	for _, r := range l.Records {
 		if r.Key == pomelo.KeyEpoch {
 			return decodeEpoch(r.Value)
 		}
 	}
-	return 0, nil
+	return epochRecord{}, nil
 }
 
-// errNewEpoch means that another node has repaired the store since the last watch: revisions of the two epochs can't be compared, so the store is listed again.
+// errNewEpoch means that the store has returned with an older state, or that another node has repaired it, since the last watch: revisions of the two epochs can't be compared, so the store is listed again.
 var errNewEpoch = errors.New("the store has a new epoch")
 
 var errRelist = errors.New("the store returned with an older state; it is listed again after the repair")
--- a/follow/repair.go
+++ b/follow/repair.go
@@ -9,8 +9,10 @@
 	"github.com/pomeloworks/pomelo"
 )
 
+// epochRecord is the epoch that a repair has begun; Known is the revision up to which the repairing node knew the configuration of the epoch before.
 type epochRecord struct {
-	Epoch int64 `json:"epoch"`
+	Epoch int64           `json:"epoch"`
+	Known pomelo.Revision `json:"known,omitempty"`
 }
 
 // repair writes accepted configuration back to a store that returned with an older state, and then increments the store's epoch.
@@ -32,6 +34,26 @@
 	return errRelist
 }
 
+// complete restores the accepted configuration that the node which repaired the store did not know yet, unless it has been written since.
+func (f *Follower) complete(ctx context.Context, l pomelo.Listing, e epochRecord) error {
+	stored := byKey(l)
+	repaired := stored[pomelo.KeyEpoch].Revision
+	f.log.Warn("repair_completed", "epoch", e.Epoch, "repaired", e.Known, "known", f.mirror.Position().Revision)
+	for _, r := range f.mirror.All() {
+		if !isConfig(r) || r.Revision <= e.Known || stored[r.Key].Revision > repaired {
+			continue
+		}
+		if err := f.restore(ctx, r, stored[r.Key].Revision); err != nil {
+			return err
+		}
+	}
+	e.Known = f.mirror.Position().Revision
+	if err := f.putEpoch(ctx, e, repaired); err != nil {
+		return err
+	}
+	return errRelist
+}
+
 func (f *Follower) restore(ctx context.Context, r pomelo.Record, expected pomelo.Revision) error {
 	_, err := f.store.Put(ctx, pomelo.Write{Key: r.Key, Value: r.Value, Expected: expected})
 	if pomelo.IsKind(err, pomelo.KindConflict) {
@@ -41,7 +63,13 @@
 }
 
 func (f *Follower) incrementEpoch(ctx context.Context, expected pomelo.Revision) error {
-	value, err := json.Marshal(epochRecord{Epoch: f.mirror.Position().Epoch + 1})
+	p := f.mirror.Position()
+	return f.putEpoch(ctx, epochRecord{Epoch: p.Epoch + 1, Known: p.Revision}, expected)
+}
+
+// putEpoch writes the epoch unless another node has.
+func (f *Follower) putEpoch(ctx context.Context, e epochRecord, expected pomelo.Revision) error {
+	value, err := json.Marshal(e)
 	if err != nil {
 		return errors.Wrap(err, "encode epoch")
 	}
@@ -49,7 +77,7 @@
 	if pomelo.IsKind(err, pomelo.KindConflict) {
 		return nil
 	}
-	return errors.Wrap(err, "increment the store's epoch")
+	return errors.Wrap(err, "write the store's epoch")
 }
 
 func isConfig(r pomelo.Record) bool {
@@ -64,8 +92,8 @@
 	return out
 }
 
-func decodeEpoch(value []byte) (int64, error) {
+func decodeEpoch(value []byte) (epochRecord, error) {
 	var e epochRecord
 	err := json.Unmarshal(value, &e)
-	return e.Epoch, errors.Wrap(err, "decode epoch")
+	return e, errors.Wrap(err, "decode epoch")
 }
--- a/store.go
+++ b/store.go
@@ -30,7 +30,7 @@
 type Listing struct {
 	Records  []Record `json:"records"`
 	Revision Revision `json:"revision"`
-	Epoch    int64    `json:"-"`
+	Epoch    int64    `json:"epoch,omitempty"`
 }
 
 // Position returns the state of the store that the listing shows.
