--- a/census/census.go
+++ b/census/census.go
@@ -49,7 +49,7 @@
 }
 
 // Replace applies a complete list, read at a state of the store that is not in an earlier epoch, and reports whether any member changed.
-func (c *Census) Replace(records []Record, at pomelo.Position, now pomelo.Millis) bool {
+func (c *Census) Replace(records []pomelo.MemberRecord, at pomelo.Position, now pomelo.Millis) bool {
 	changed := false
 	if c.listed && at.Epoch > c.position.Epoch {
 		changed = c.beginEpoch(now)
@@ -92,12 +92,12 @@
 }
 
 // isOutdated reports whether a record of the copy is older than what was known before the store returned.
-func (c *Census) isOutdated(r Record) bool {
+func (c *Census) isOutdated(r pomelo.MemberRecord) bool {
 	return r.Member.Epoch < c.position.Epoch && r.Revision <= c.knownRevision
 }
 
 // Apply applies one change, in the order of revisions, and reports whether any member changed.
-func (c *Census) Apply(r Record, now pomelo.Millis) bool {
+func (c *Census) Apply(r pomelo.MemberRecord, now pomelo.Millis) bool {
 	c.position.Revision = max(c.position.Revision, r.Revision)
 	e, known := c.entries[r.Member.VM]
 	if known && e.carried && (r.Deleted || r.Member.Epoch < c.position.Epoch) {
--- a/owner/confirm.go
+++ b/owner/confirm.go
@@ -61,7 +61,7 @@
 // dropUnlisted drops confirmations of, and requests to, processes that no retained list contains.
 func (t *Tracker) dropUnlisted() {
 	listed := map[process]bool{}
-	for _, e := range t.epochs {
+	for _, e := range t.lists {
 		for _, m := range e.list {
 			listed[processOf(m)] = true
 		}
--- a/owner/epoch.go
+++ b/owner/member_list.go
@@ -7,8 +7,8 @@
 	"github.com/pomeloworks/pomelo"
 )
 
-// epoch is a member list with the monotonic time and the wall-clock time at which this node applied it.
-type epoch struct {
+// memberList is the store's member list with the monotonic time and the wall-clock time at which this node applied it.
+type memberList struct {
 	list             []pomelo.Member
 	appliedMonotonic pomelo.Millis
 	appliedAt        pomelo.Millis
@@ -22,14 +22,14 @@
 	returned *storeReturn
 }
 
-// owner returns the owner of the resource by the list of epoch i.
+// owner returns the owner of the resource by list i.
 func (t *Tracker) owner(i int, resource string) (pomelo.Member, bool) {
 	if i < 0 {
 		return pomelo.Member{}, false
 	}
 	var best pomelo.Member
 	var maxHash uint64
-	for _, m := range active(t.epochs[i].list) {
+	for _, m := range active(t.lists[i].list) {
 		if h := xxhash.Sum64String(m.VM + " " + resource); best.VM == "" || h > maxHash {
 			best = m
 			maxHash = h
@@ -38,7 +38,7 @@
 	return best, best.VM != ""
 }
 
-// runStart returns the oldest epoch since which the resource has had the same owner without a break up to epoch i.
+// runStart returns the oldest list since which the resource has had the same owner without a break up to list i.
 func (t *Tracker) runStart(i int, resource string) int {
 	m, _ := t.owner(i, resource)
 	for i > 0 {
--- a/owner/return_sim_test.go
+++ b/owner/return_sim_test.go
@@ -14,10 +14,10 @@
 
 // storeState is what a copy of the simulated store contains; lease expiries are monotonic times.
 type storeState struct {
-	records  map[string]census.Record
+	records  map[string]pomelo.MemberRecord
 	leases   map[int]pomelo.Millis
 	leaseOf  map[string]int
-	events   []census.Record
+	events   []pomelo.MemberRecord
 	revision pomelo.Revision
 	takenAt  pomelo.Millis
 }
@@ -45,11 +45,11 @@
 
 func newReturningStore(c *clock.Clock) *returningStore {
 	return &returningStore{clock: c, epoch: 1, storeState: storeState{
-		records: map[string]census.Record{}, leases: map[int]pomelo.Millis{}, leaseOf: map[string]int{},
+		records: map[string]pomelo.MemberRecord{}, leases: map[int]pomelo.Millis{}, leaseOf: map[string]int{},
 	}}
 }
 
-func (s *returningStore) record(r census.Record) {
+func (s *returningStore) record(r pomelo.MemberRecord) {
 	s.revision++
 	r.Revision = s.revision
 	s.events = append(s.events, r)
@@ -63,7 +63,7 @@
 func (s *returningStore) expireLeases() {
 	for vm, id := range s.leaseOf {
 		if _, ok := s.records[vm]; ok && s.leases[id] <= s.clock.Monotonic() {
-			s.record(census.Record{Member: pomelo.Member{VM: vm}, Deleted: true})
+			s.record(pomelo.MemberRecord{Member: pomelo.Member{VM: vm}, Deleted: true})
 		}
 	}
 	for id, at := range s.leases {
@@ -138,7 +138,7 @@
 	}
 	at := pomelo.Position{Epoch: p.store.epoch, Revision: p.store.revision}
 	if relist || !p.started || p.census.Position().Epoch != at.Epoch {
-		var records []census.Record
+		var records []pomelo.MemberRecord
 		for _, r := range p.store.records {
 			records = append(records, r)
 		}
@@ -202,7 +202,7 @@
 		return
 	}
 	p.store.leaseOf[p.self.VM] = p.lease
-	p.store.record(census.Record{Member: p.self})
+	p.store.record(pomelo.MemberRecord{Member: p.self})
 	if answerLost {
 		return
 	}
--- a/owner/store_return.go
+++ b/owner/store_return.go
@@ -16,31 +16,31 @@
 func (t *Tracker) isProvenSince(at pomelo.Millis) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.epochs[len(t.epochs)-1].position.Epoch == 0 || t.verifiedAt > at
+	return t.lists[len(t.lists)-1].position.Epoch == 0 || t.verifiedAt > at
 }
 
 // isReturn reports whether the list is the first one of a later epoch of the store.
-func (t *Tracker) isReturn(next epoch) bool {
-	return len(t.epochs) > 0 && next.position.Epoch > t.epochs[len(t.epochs)-1].position.Epoch
+func (t *Tracker) isReturn(next memberList) bool {
+	return len(t.lists) > 0 && next.position.Epoch > t.lists[len(t.lists)-1].position.Epoch
 }
 
 // applyReturn keeps the ownership of a process whose last proof is so recent that no process which it doesn't know can have become an owner before the store returned; any other process starts anew.
-func (t *Tracker) applyReturn(next epoch, self pomelo.Member, now pomelo.Millis) {
+func (t *Tracker) applyReturn(next memberList, self pomelo.Member, now pomelo.Millis) {
 	next.returned = &storeReturn{verifiedBefore: t.verifiedAt}
 	if now-t.verifiedAt > maxListAge || !containsProcess(next.list, self) || !sameRecord(t.currentList(), next.list, self.VM) {
-		t.epochs = []epoch{next}
+		t.lists = []memberList{next}
 		return
 	}
 	next.returned.continues = true
-	t.epochs = append(t.epochs, next)
+	t.lists = append(t.lists, next)
 }
 
 // rejoinsAnew reports whether the list is the first one in a returned store with this process's record, and the process does not keep what it owned.
-func (t *Tracker) rejoinsAnew(next epoch, self pomelo.Member) bool {
+func (t *Tracker) rejoinsAnew(next memberList, self pomelo.Member) bool {
 	if !isWritten(next, self) {
 		return false
 	}
-	for _, e := range t.epochs {
+	for _, e := range t.lists {
 		if e.returned == nil || e.returned.rejoinedAt > 0 {
 			continue
 		}
@@ -52,7 +52,7 @@
 }
 
 // isWritten reports whether the list contains this process's record as written in the list's epoch of the store.
-func isWritten(e epoch, self pomelo.Member) bool {
+func isWritten(e memberList, self pomelo.Member) bool {
 	for _, m := range e.list {
 		if sameTerm(m, self) && m.Epoch == e.position.Epoch {
 			return true
@@ -62,8 +62,8 @@
 }
 
 // updateYoung sets until when the list may lack members: after a return, and at a process's first list unless a record shows that the epoch is old.
-func (t *Tracker) updateYoung(next epoch, now pomelo.Millis) {
-	first := len(t.epochs) == 0 && t.youngUntil == 0
+func (t *Tracker) updateYoung(next memberList, now pomelo.Millis) {
+	first := len(t.lists) == 0 && t.youngUntil == 0
 	switch {
 	case t.isReturn(next):
 	case first && next.position.Epoch > 0 && !t.firstStart && !hasSoleOwner(next):
@@ -78,7 +78,7 @@
 }
 
 // hasSoleOwner reports whether a record written in the list's epoch shows its process as the sole owner, which no process becomes in a young epoch.
-func hasSoleOwner(e epoch) bool {
+func hasSoleOwner(e memberList) bool {
 	for _, m := range e.list {
 		if m.SoleOwner && m.Epoch == e.position.Epoch {
 			return true
@@ -88,11 +88,11 @@
 }
 
 // observeOwnRecord records when this process's record is first listed in the epoch of the last return.
-func (t *Tracker) observeOwnRecord(next epoch, self pomelo.Member, now pomelo.Millis) {
+func (t *Tracker) observeOwnRecord(next memberList, self pomelo.Member, now pomelo.Millis) {
 	if !isWritten(next, self) {
 		return
 	}
-	for _, e := range t.epochs {
+	for _, e := range t.lists {
 		if e.returned != nil && e.returned.rejoinedAt == 0 {
 			e.returned.rejoinedAt = now
 		}
@@ -101,7 +101,7 @@
 
 // afterReturns applies the store's returns during the ownership: a process that could not act before a return waits anew from the time at which others can know it again.
 func (t *Tracker) afterReturns(o ownership) ownership {
-	for _, e := range t.epochs[o.firstEpoch+1:] {
+	for _, e := range t.lists[o.firstList+1:] {
 		if e.returned == nil || o.isConfirmed && o.exclusiveFrom <= e.appliedMonotonic || o.exclusiveFrom < e.returned.verifiedBefore {
 			continue
 		}
@@ -114,10 +114,10 @@
 	return o
 }
 
-// lastRejoin returns when this process's record was read after the last return since epoch first, or neverExclusive if it has not been.
+// lastRejoin returns when this process's record was read after the last return since list first, or neverExclusive if it has not been.
 func (t *Tracker) lastRejoin(first int) pomelo.Millis {
 	at := pomelo.Millis(0)
-	for _, e := range t.epochs[first:] {
+	for _, e := range t.lists[first:] {
 		if e.returned == nil {
 			continue
 		}
--- a/owner/tracker.go
+++ b/owner/tracker.go
@@ -12,7 +12,7 @@
 	maxListAge = pomelo.MaxMemberProofAge
 	// youngPeriod is the time after the first list of a store's epoch in which a member that the list lacks may still act by a list of the earlier epoch.
 	youngPeriod = maxListAge + 500
-	// maxUnseenGap is the longest gap, in which changes of the list may have been missed, after which the earlier epochs are retained: it is shorter than the time that a member needs to join, wait for an unresponsive owner, own a resource and be removed.
+	// maxUnseenGap is the longest gap, in which changes of the list may have been missed, after which the earlier lists are retained: it is shorter than the time that a member needs to join, wait for an unresponsive owner, own a resource and be removed.
 	maxUnseenGap = pomelo.Millis(4_000)
 	// confirmInterval is the interval between two confirmation requests to one member: a few round trips within a region.
 	confirmInterval = pomelo.Millis(100)
@@ -20,8 +20,8 @@
 	leaseMargin = pomelo.Millis(100)
 )
 
-// maxEpochs bounds the retained epochs; a resource owned through all of them counts as owned since the oldest.
-const maxEpochs = 16
+// maxLists bounds the retained lists; a resource owned through all of them counts as owned since the oldest.
+const maxLists = 16
 
 // maxConfirmMembers is the largest number of members that a new member asks to confirm its list, so that its work does not grow with the fleet.
 const maxConfirmMembers = 32
@@ -43,8 +43,8 @@
 	firstStart      bool
 
 	mu sync.Mutex
-	// epochs are the latest member lists, the newest last.
-	epochs []epoch
+	// lists are the latest member lists, the newest last.
+	lists []memberList
 	// owned caches the ownership of each requested resource for the newest list and the process's current term.
 	owned map[string]ownership
 	term  int64
@@ -62,8 +62,8 @@
 	isOwner       bool
 	since         pomelo.Millis
 	exclusiveFrom pomelo.Millis
-	// firstEpoch is the index of the epoch in which the ownership began; previousOwner owned the resource until then, and may still act on it until it confirms that list.
-	firstEpoch    int
+	// firstList is the index of the list with which the ownership began; previousOwner owned the resource until then, and may still act on it until it confirms that list.
+	firstList     int
 	previousOwner pomelo.Member
 	// isConfirmed is true if all that could act on the resource have confirmed the list, so that no later proof is needed.
 	isConfirmed bool
@@ -122,7 +122,7 @@
 	defer t.mu.Unlock()
 	now := t.clock.Monotonic()
 	t.verifiedAt = max(t.verifiedAt, now-age)
-	next := epoch{list: list, appliedMonotonic: now, appliedAt: t.clock.Now(), position: position, relisted: relisted}
+	next := memberList{list: list, appliedMonotonic: now, appliedAt: t.clock.Now(), position: position, relisted: relisted}
 	t.updateYoung(next, now)
 	next.young = dropped || t.isYoung()
 	switch {
@@ -132,16 +132,16 @@
 		// Others may have dropped this process, and taken over, without a trace in the store.
 		next.young = true
 		t.youngUntil = now + youngPeriod
-		t.epochs = []epoch{next}
+		t.lists = []memberList{next}
 	case relisted && (now-t.verifiedAt > maxUnseenGap || !sameRecord(t.currentList(), list, self.VM)):
-		t.epochs = []epoch{next}
-	case len(t.epochs) > 0 && sameActive(t.currentList(), list):
-		t.epochs[len(t.epochs)-1].list = list
+		t.lists = []memberList{next}
+	case len(t.lists) > 0 && sameActive(t.currentList(), list):
+		t.lists[len(t.lists)-1].list = list
 	default:
-		t.epochs = append(t.epochs, next)
+		t.lists = append(t.lists, next)
 	}
-	if len(t.epochs) > maxEpochs {
-		t.epochs = t.epochs[1:]
+	if len(t.lists) > maxLists {
+		t.lists = t.lists[1:]
 	}
 	t.observeOwnRecord(next, self, now)
 	t.dropUnlisted()
@@ -150,17 +150,17 @@
 
 // currentList returns the newest member list.
 func (t *Tracker) currentList() []pomelo.Member {
-	if len(t.epochs) == 0 {
+	if len(t.lists) == 0 {
 		return nil
 	}
-	return t.epochs[len(t.epochs)-1].list
+	return t.lists[len(t.lists)-1].list
 }
 
 // Owner returns the member that owns the resource, the one with the highest hash of its VM and the resource; false if there is none.
 func (t *Tracker) Owner(resource string) (pomelo.Member, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.owner(len(t.epochs)-1, resource)
+	return t.owner(len(t.lists)-1, resource)
 }
 
 // IsOwner reports whether this node may act on the resource now.
@@ -219,7 +219,7 @@
 	if o.previousOwner.VM != "" {
 		t.requestConfirmation(o.previousOwner, now)
 	}
-	e := t.epochs[o.firstEpoch]
+	e := t.lists[o.firstList]
 	if t.allConfirmed(t.members.Self(), e.position, now) {
 		o.exclusiveFrom = e.appliedMonotonic
 		o.isConfirmed = true
@@ -229,23 +229,23 @@
 
 // findOwnership returns this process's ownership, from the run of consecutive lists that assign the resource to it.
 func (t *Tracker) findOwnership(resource string, self pomelo.Member) ownership {
-	last := len(t.epochs) - 1
+	last := len(t.lists) - 1
 	m, ok := t.owner(last, resource)
 	if !ok || !sameTerm(m, self) {
 		return ownership{}
 	}
 	first := t.runStart(last, resource)
 	from, isConfirmed := t.exclusiveFrom(first, resource)
-	o := ownership{isOwner: true, firstEpoch: first, since: t.epochs[first].appliedAt, exclusiveFrom: from, isConfirmed: isConfirmed}
+	o := ownership{isOwner: true, firstList: first, since: t.lists[first].appliedAt, exclusiveFrom: from, isConfirmed: isConfirmed}
 	if previous, ok := t.owner(first-1, resource); ok {
 		o.previousOwner = previous
 	}
 	return t.afterReturns(o)
 }
 
-// exclusiveFrom returns the monotonic time after which no previous owner can act on the resource, for ownership that begins at epoch first, and whether that is known without a later proof of the list.
+// exclusiveFrom returns the monotonic time after which no previous owner can act on the resource, for ownership that begins with list first, and whether that is known without a later proof of the list.
 func (t *Tracker) exclusiveFrom(first int, resource string) (pomelo.Millis, bool) {
-	e := t.epochs[first]
+	e := t.lists[first]
 	if first == 0 {
 		if m, _ := t.owner(0, resource); m.SoleOwner {
 			return e.appliedMonotonic, true
@@ -269,7 +269,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	joined := -1
-	for i := len(t.epochs) - 1; i >= 0 && containsProcess(active(t.epochs[i].list), self); i-- {
+	for i := len(t.lists) - 1; i >= 0 && containsProcess(active(t.lists[i].list), self); i-- {
 		joined = i
 	}
 	if joined < 0 {
@@ -278,8 +278,8 @@
 	if t.isYoung() {
 		return false
 	}
-	if t.verifiedAt > max(t.epochs[joined].appliedMonotonic, t.lastRejoin(joined))+maxListAge {
+	if t.verifiedAt > max(t.lists[joined].appliedMonotonic, t.lastRejoin(joined))+maxListAge {
 		return true
 	}
-	return t.allConfirmed(self, t.epochs[joined].position, t.clock.Monotonic())
+	return t.allConfirmed(self, t.lists[joined].position, t.clock.Monotonic())
 }
--- a/view/view.go
+++ b/view/view.go
@@ -2,18 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"sync/atomic"
 
-	"github.com/cockroachdb/errors"
 	"github.com/pomeloworks/pomelo"
 	"github.com/pomeloworks/pomelo/census"
-	"github.com/pomeloworks/pomelo/guard"
 	"github.com/pomeloworks/pomelo/outage"
-	"github.com/pomeloworks/pomelo/policy"
 	"github.com/pomeloworks/pomelo/proof"
 )
 
@@ -141,20 +136,6 @@
 	return v.listed
 }
 
-// Policy returns the newest policy, or false until one has been read.
-func (v *View) Policy() (pomelo.Policy, bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.policy, v.policy != nil
-}
-
-// Age returns the milliseconds since the start of the last read that proved the policy to be current.
-func (v *View) Age() pomelo.Millis {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.ageOf(v.proof.ProvenAt())
-}
-
 // MembersAge returns the milliseconds since the start of the last read that proved the members to be current while this node's own record was among them.
 func (v *View) MembersAge() pomelo.Millis {
 	v.mu.Lock()
@@ -255,49 +236,6 @@
 	}
 }
 
-// confirmPolicy records that a read of the epoch that began at start showed the current policy; the mutex must be held.
-func (v *View) confirmPolicy(epoch int64, start pomelo.Millis) {
-	if v.policy == nil || v.needsConsultation() {
-		return
-	}
-	provenAt, known := v.proof.ProvenAt()
-	if !v.proof.Confirm(v.policy.Version(), epoch, start) {
-		return
-	}
-	if !known || v.clock.Monotonic()-provenAt > outageThreshold {
-		v.log.Info("store_regained", "epoch", epoch, "revision", v.census.Position().Revision, "version", v.policy.Version())
-	}
-}
-
-// comparePosition proves the members if the watch has reached the position, and otherwise cancels a watch that has become unresponsive; a position of another epoch proves nothing. The mutex must be held.
-func (v *View) comparePosition(at pomelo.Position, start pomelo.Millis) {
-	watched := v.census.Watched()
-	if at.Epoch != watched.Epoch {
-		return
-	}
-	if watched.Revision >= at.Revision {
-		v.census.Prove(start)
-		return
-	}
-	now := v.clock.Monotonic()
-	if v.watchLag.revision > watched.Revision && now-v.watchLag.detectedAt > maxWatchLag && v.cancelWatch != nil {
-		v.log.Warn("watch_silent", "watched", watched.Revision, "read", at.Revision)
-		v.cancelWatch()
-	}
-	if v.watchLag.revision <= watched.Revision {
-		v.watchLag = lag{revision: at.Revision, readStart: start, detectedAt: now}
-	}
-}
-
-// advanceWatched records the watch's progress; the mutex must be held.
-func (v *View) advanceWatched(revision pomelo.Revision) {
-	v.census.Advance(revision)
-	if v.watchLag.revision > 0 && v.census.Watched().Revision >= v.watchLag.revision {
-		v.census.Prove(v.watchLag.readStart)
-		v.watchLag = lag{}
-	}
-}
-
 // dropMembers drops the members that have not been seen again for long enough after they expired, or after the store returned from a copy.
 func (v *View) dropMembers() {
 	v.mu.Lock()
@@ -310,119 +248,6 @@
 	v.publish(dropped, v.onDrop)
 }
 
-// listAndWatch lists the members and then watches for changes, and starts over when the watch ends.
-func (v *View) listAndWatch(ctx context.Context) {
-	for ctx.Err() == nil {
-		_ = v.awaitStore(ctx)
-		err := v.list(ctx)
-		v.record(err)
-		if err != nil {
-			v.log.Warn("store_list_failed", "error", err.Error())
-			_ = v.clock.Sleep(ctx, awayPoll)
-			continue
-		}
-		v.watch(ctx)
-	}
-}
-
-func (v *View) list(ctx context.Context) error {
-	start := v.clock.Monotonic()
-	l, err := v.store.List(ctx, pomelo.PrefixMember)
-	if err != nil {
-		return err
-	}
-	v.observeEpoch(l.Epoch)
-	v.mu.Lock()
-	if l.Epoch < v.proof.Epoch() {
-		v.mu.Unlock()
-		return errors.Newf("the list is of the store's epoch %d, and %d has been seen", l.Epoch, v.proof.Epoch())
-	}
-	changed := v.census.Replace(decodeAll(l.Records, v.log), l.Position(), v.clock.Monotonic())
-	v.watchLag = lag{}
-	v.mu.Unlock()
-	v.log.Info("members_listed", "count", len(l.Records), "epoch", l.Epoch, "revision", l.Revision)
-	first := false
-	v.listedOnce.Do(func() { first = true })
-	v.publish(changed || first, nil)
-	for _, f := range v.onRelist {
-		f()
-	}
-	if first {
-		close(v.listed)
-	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.census.Prove(start)
-	return nil
-}
-
-// watch applies changes until the member records must be listed again.
-func (v *View) watch(ctx context.Context) {
-	var changes batch
-	for ctx.Err() == nil {
-		wait := watchWait
-		if v.awaitStore(ctx) {
-			wait = 0
-		}
-		watching, cancel := context.WithCancel(ctx)
-		v.mu.Lock()
-		since := v.census.Watched()
-		v.cancelWatch = cancel
-		returned := since.Epoch < v.proof.Epoch()
-		v.mu.Unlock()
-		if returned {
-			cancel()
-			return
-		}
-		l, err := v.store.Watch(watching, "", since.Revision, wait)
-		cut := watching.Err() != nil
-		cancel()
-		if !cut {
-			v.record(err)
-		}
-		if pomelo.IsKind(err, pomelo.KindWatchCompacted) {
-			v.log.Warn("watch_compacted", "epoch", since.Epoch, "revision", since.Revision)
-			return
-		}
-		if err != nil {
-			v.log.Warn("watch_failed", "epoch", since.Epoch, "revision", since.Revision, "error", err.Error())
-			_ = v.clock.Sleep(ctx, awayPoll)
-			continue
-		}
-		if v.observeEpoch(l.Epoch); l.Epoch != since.Epoch {
-			return
-		}
-		v.apply(l)
-		if len(l.Records) > 0 {
-			_ = v.clock.Sleep(ctx, changes.next(v.clock.Monotonic()))
-		}
-	}
-}
-
-func (v *View) apply(l pomelo.Listing) {
-	now := v.clock.Monotonic()
-	for _, r := range l.Records {
-		if r.Key == v.policyKey {
-			v.adoptPolicy(r, "watch")
-			continue
-		}
-		if strings.HasPrefix(r.Key, pomelo.PrefixMember) {
-			// Each change is reported separately, so that a member that joined and left within one response is not missed.
-			v.publish(v.applyMember(r, now), v.onChange)
-		}
-	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.advanceWatched(l.Revision)
-}
-
-func (v *View) applyMember(r pomelo.Record, now pomelo.Millis) bool {
-	c, ok := decode(r, v.log)
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return ok && v.census.Apply(c, now)
-}
-
 // publish rebuilds the index of the members and calls the callbacks if the members have changed.
 func (v *View) publish(changed bool, callbacks []func()) {
 	if !changed {
@@ -435,58 +260,3 @@
 		f()
 	}
 }
-
-// adoptPolicy replaces the policy by one of a higher version and ignores an invalid one.
-func (v *View) adoptPolicy(r pomelo.Record, source string) {
-	if r.Key != v.policyKey || r.Deleted {
-		return
-	}
-	spec, err := v.parsePolicy(r.Value)
-	if err != nil {
-		v.log.Warn("policy_unusable", "revision", r.Revision, "source", source, "error", err.Error())
-		return
-	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.policy != nil && spec.Version <= v.policy.Version() {
-		return
-	}
-	v.policy = policy.New(spec)
-	v.policyValue = r.Value
-	v.log.Info("policy_adopted", "version", spec.Version, "revision", r.Revision, "source", source, "routes", len(spec.Routes), "accounts", len(spec.Accounts))
-}
-
-// parsePolicy parses a policy that may hold anything.
-func (v *View) parsePolicy(value []byte) (pomelo.PolicySpec, error) {
-	var spec pomelo.PolicySpec
-	err := errPolicyPanic
-	guard.New(v.log).Run("policy", "", func() { spec, err = v.parse(value) })
-	return spec, err
-}
-
-var errPolicyPanic = errors.New("reading the policy ended unexpectedly")
-
-func decodeAll(records []pomelo.Record, log pomelo.Logger) []census.Record {
-	var out []census.Record
-	for _, r := range records {
-		if c, ok := decode(r, log); ok {
-			out = append(out, c)
-		}
-	}
-	return out
-}
-
-// decode returns the change of a member that the record describes; false if the record can't be read.
-func decode(r pomelo.Record, log pomelo.Logger) (census.Record, bool) {
-	c := census.Record{Revision: r.Revision, Deleted: r.Deleted}
-	if r.Deleted {
-		c.Member.VM = strings.TrimPrefix(r.Key, pomelo.PrefixMember)
-		return c, true
-	}
-	err := json.Unmarshal(r.Value, &c.Member)
-	if err != nil || pomelo.PrefixMember+c.Member.VM != r.Key {
-		log.Warn("member_unreadable", "key", r.Key, "revision", r.Revision)
-		return c, false
-	}
-	return c, true
-}
