--- a/mesh/node.go
+++ b/mesh/node.go
@@ -18,6 +18,8 @@
 const (
 	readHeaderTimeout = pomelo.Millis(3_000)
 	readTimeout       = pomelo.Millis(6_000)
+	// idleTimeout exceeds every interval of heartbeats and probes.
+	idleTimeout = pomelo.Millis(60_000)
 	// readinessDelay is the time, in milliseconds, for which a stopping node still accepts requests: the platform probes readiness once a second and removes a node after two failed probes.
 	readinessDelay = pomelo.Millis(2_200)
 	// abortMargin is the time before the end of the grace period at which pending requests are canceled; it lies within the last sixth of the grace period.
@@ -144,7 +146,7 @@
 	if err != nil {
 		return pomelo.NewFault(pomelo.KindBadSettings, "can't listen: "+err.Error(), "check the addresses in the settings file")
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout.Duration(), ReadTimeout: readTimeout.Duration(), MaxHeaderBytes: maxControlHeadBytes}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout.Duration(), ReadTimeout: readTimeout.Duration(), IdleTimeout: idleTimeout.Duration(), MaxHeaderBytes: maxControlHeadBytes}
 	n.servers = append(n.servers, s)
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
