Budget: a body is read in pieces, so that a long one that is given up leaves no copies behind

Cause: the buffer doubled, and its copies stayed until the next collection: in 2 of 10 runs of TestEndless beside load the heap was 99 and 103 MB, over the bound of half of the VM's 184 MB. Ruled out: the heads and discarded bodies (21 MB at most). Change: the first 64 KiB grow, pieces of 64 KiB follow, each counted, joined once at the end.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -12,7 +12,6 @@
 	freeBytes = 64 << 10
 	// bodyFraction is the fraction of the budget that one body may use.
 	bodyFraction = 2
-	firstBuffer  = 4 << 10
 )
 
 // ErrBodyTooLarge means that one body is over its share of the budget.
@@ -44,26 +43,22 @@
 
 // ReadAll reads r to its end; it returns ErrBodyTooLarge, ErrExhausted, or the reader's error, and stops reading at once.
 func (b *Budget) ReadAll(r io.Reader) ([]byte, error) {
-	buffer := make([]byte, 0, firstBuffer)
-	counted := int64(0)
-	defer func() { b.used.Add(-counted) }()
+	var read pieces
+	defer func() { b.used.Add(-read.counted) }()
 	for {
-		if len(buffer) == cap(buffer) {
-			next := min(2*int64(cap(buffer)), b.BodyLimit()+1)
-			more, err := b.acquire(int64(cap(buffer)), next)
-			if err != nil {
+		if read.isFull() {
+			if err := b.grow(&read); err != nil {
 				return nil, err
 			}
-			counted += more
-			buffer = append(make([]byte, 0, next), buffer...)
 		}
-		n, err := r.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		if int64(len(buffer)) > b.BodyLimit() {
+		room := read.room()
+		n, err := r.Read(room[:min(int64(len(room)), b.BodyLimit()+1-read.length)])
+		read.extend(n)
+		if read.length > b.BodyLimit() {
 			return nil, ErrBodyTooLarge
 		}
 		if errors.Is(err, io.EOF) {
-			return buffer, nil
+			return read.join(), nil
 		}
 		if err != nil {
 			return nil, err
@@ -71,14 +66,16 @@
 	}
 }
 
-// acquire reserves the bytes by which a buffer is to grow, and returns how many are counted.
-func (b *Budget) acquire(size, next int64) (int64, error) {
-	if next <= freeBytes {
-		return 0, nil
+// grow adds room for a body's next bytes, which is counted beyond the free ones.
+func (b *Budget) grow(p *pieces) error {
+	if p.length < freeBytes {
+		p.growFirst()
+		return nil
 	}
-	if b.used.Add(next-size) > b.size {
-		b.used.Add(size - next)
-		return 0, ErrExhausted
+	if b.used.Add(pieceBytes) > b.size {
+		b.used.Add(-pieceBytes)
+		return ErrExhausted
 	}
-	return next - size, nil
+	p.addPiece()
+	return nil
 }
--- a/uplink/endless_test.go
+++ b/uplink/endless_test.go
@@ -47,13 +47,19 @@
 	{"a trailer", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"},
 }
 
-// serveEndless answers every request with the start and then the repeated part, until the caller closes or the test has ended, and counts the bytes.
+// serveEndless answers with the start and then the repeated part, once all senders have a request, until the caller closes, and counts the bytes.
 func serveEndless(t *testing.T, start, repeated string, sent *atomic.Int64) *fakeServer {
 	block := []byte(strings.Repeat(repeated, 64<<10/len(repeated)))
+	var requests atomic.Int64
+	all := make(chan struct{})
 	return serve(t, func(c net.Conn, r *bufio.Reader, _ int) {
 		if _, err := http.ReadRequest(r); err != nil {
 			return
 		}
+		if requests.Add(1) == senders {
+			close(all)
+		}
+		<-all
 		_, err := io.WriteString(c, start)
 		for err == nil {
 			var n int
