View: peers are asked for a later policy before their proofs are taken over

Found by reading: a node that takes its proofs from a peer returned before it asked for a later policy, so that in a new epoch of the store no proof counted until it read the store itself. That happened in every test, since its peers' proofs are too old for it while they settle; it now holds without that. TestReturnWithoutRecords runs until every proof from before the return is too old.

--- a/mesh/return_test.go
+++ b/mesh/return_test.go
@@ -35,7 +35,8 @@
 		f.restore(empty)
 		written := false
 		n := 0
-		for end := time.Now().Add(4 * time.Second); time.Now().Before(end); n++ {
+		// Long enough that every proof from before the return is too old at the end.
+		for end := time.Now().Add(8 * time.Second); time.Now().Before(end); n++ {
 			for _, m := range f.nodes {
 				status, body := m.send("GET", "/a/x", fmt.Sprint("r", n, m.settings.VM), "")
 				convey.So(body, convey.ShouldContainSubstring, "account=acme")
--- a/view/consult.go
+++ b/view/consult.go
@@ -23,30 +23,35 @@
 	return v.peers != nil && v.consultedEpoch < v.proof.Epoch()
 }
 
-// consult asks some peers for their policy versions and takes over a later policy than this node's, once in each epoch of the store; it reports whether it did.
-func (v *View) consult(ctx context.Context) bool {
+func (v *View) isUnconsulted() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.needsConsultation()
+}
+
+// consult asks some peers for their policy versions and takes over a later policy than this node's, once in each epoch of the store.
+func (v *View) consult(ctx context.Context) {
 	v.mu.Lock()
 	needed := v.needsConsultation()
 	epoch := v.proof.Epoch()
 	v.mu.Unlock()
 	if !needed {
-		return false
+		return
 	}
 	select {
 	case <-v.listed:
 	case <-ctx.Done():
-		return false
+		return
 	}
 	giveUpAt := v.clock.Monotonic() + consultTimeout
 	for !v.consultPeers(ctx) && v.clock.Monotonic() < giveUpAt {
 		if v.clock.Sleep(ctx, consultInterval) != nil {
-			return false
+			return
 		}
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.consultedEpoch = epoch
-	return true
 }
 
 // consultPeers asks some peers at once, and reports whether one answered or there are none.
--- a/view/view.go
+++ b/view/view.go
@@ -168,6 +168,10 @@
 // refresh proves this node's copy by a peer's or by a read of the store, and returns the delay until the next time.
 func (v *View) refresh(ctx context.Context) pomelo.Millis {
 	defer v.dropMembers()
+	_, hasPolicy := v.Policy()
+	if hasPolicy {
+		v.consult(ctx)
+	}
 	if v.confirmByPeer(ctx) {
 		v.outage.Hint(v.clock.Monotonic(), rand.Float64())
 		return readInterval
@@ -181,7 +185,7 @@
 		v.log.Warn("store_read_failed", "age_ms", v.Age(), "error", err.Error())
 		return retryDelay
 	}
-	if v.consult(ctx) {
+	if !hasPolicy && v.isUnconsulted() {
 		return 0
 	}
 	return readInterval
