Log and metrics of the limit that an upstream states

The dialect decodes the header, the serving node logs each change (upstream_limit) and counts the calls that it sends to its upstream (worker.sent). Nothing acts on the limit yet.

--- a/dialect.go
+++ b/dialect.go
@@ -38,6 +38,9 @@
 	UpstreamReplaced bool
 	// RetryAfter is the delay before a retry, in milliseconds; 0 when the upstream states none.
 	RetryAfter Millis
+	// Rate is the limit that the upstream states, and UnreadableRate its text if that is no such number.
+	Rate           RateStatement
+	UnreadableRate string
 }
 
 // Dialect translates between HTTP messages and calls; it makes no routing or admission decisions.
--- a/uplink/client.go
+++ b/uplink/client.go
@@ -38,11 +38,13 @@
 	metrics pomelo.Metrics
 	budget  *budget.Budget
 	pool    pool
+	// onResponse is called with the head of each response that belongs to its call.
+	onResponse func(pomelo.Instance, pomelo.ResponseInfo)
 }
 
 // New returns a client that connects on demand.
 func New(dialect pomelo.Dialect, clock pomelo.Clock, metrics pomelo.Metrics, opts ...func(*Client)) *Client {
-	cl := &Client{dialect: dialect, clock: clock, metrics: metrics, budget: budget.New(defaultBudgetBytes)}
+	cl := &Client{dialect: dialect, clock: clock, metrics: metrics, budget: budget.New(defaultBudgetBytes), onResponse: func(pomelo.Instance, pomelo.ResponseInfo) {}}
 	for _, o := range opts {
 		o(cl)
 	}
@@ -54,6 +56,11 @@
 	return func(cl *Client) { cl.budget = b }
 }
 
+// OnResponse sets the function that is called with the head of each response that belongs to its call, before its body is read; it must be called before Do.
+func (cl *Client) OnResponse(f func(pomelo.Instance, pomelo.ResponseInfo)) {
+	cl.onResponse = f
+}
+
 // Do sends the call to the upstream and reads its complete response; a refusal says whether the call may have run.
 func (cl *Client) Do(ctx context.Context, u pomelo.Instance, c pomelo.Call) pomelo.Answer {
 	if ctx.Err() != nil {
@@ -108,8 +115,9 @@
 	if err != nil {
 		return pomelo.Refuse(e.call.ID, incompleteFault(ctx, err)), false
 	}
-	body, err := e.client.budget.ReadAll(resp.Body)
 	info := e.client.dialect.DecodeResponse(e.call, resp.StatusCode, resp.Header)
+	e.client.onResponse(e.upstream, info)
+	body, err := e.client.budget.ReadAll(resp.Body)
 	if info.NotRun {
 		return pomelo.Refuse(e.call.ID, notRunFault(info)), err == nil && e.isReusable(resp)
 	}
--- a/worker/state.go
+++ b/worker/state.go
@@ -8,6 +8,11 @@
 	known    bool
 }
 
+// isSameStart reports whether i is the known upstream, started at the same time.
+func (s *state) isSameStart(i pomelo.Instance) bool {
+	return s.known && s.instance.ID == i.ID && s.instance.StartedAt == i.StartedAt
+}
+
 // isReplacedBy reports whether i is newer than the known heartbeat: from a later start of an upstream, or with a higher sequence number from the same start.
 func (s *state) isReplacedBy(i pomelo.Instance) bool {
 	if !s.known {
--- /dev/null
+++ b/worker/statement.go
@@ -0,0 +1,39 @@
+package worker
+
+import "github.com/pomeloworks/pomelo"
+
+// recordResponse takes over what the upstream states about itself in a response; responses of a previous or replaced upstream are ignored.
+func (w *Worker) recordResponse(i pomelo.Instance, info pomelo.ResponseInfo) {
+	if info.UpstreamReplaced {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.state.isSameStart(i) {
+		return
+	}
+	if info.UnreadableRate != "" {
+		w.reportUnreadableRate(i, info.UnreadableRate)
+		return
+	}
+	if info.Rate != w.rate {
+		w.setRate(i, info.Rate)
+	}
+}
+
+// setRate logs a change of the limit that the upstream states; mu must be locked.
+func (w *Worker) setRate(i pomelo.Instance, r pomelo.RateStatement) {
+	previous := w.rate
+	w.rate = r
+	w.metrics.Gauge("worker.stated_limit", r.PerSecond)
+	w.log.Info("upstream_limit", "upstream", i.ID, "limited", r.Limited, "per_second", r.PerSecond, "was_limited", previous.Limited, "was_per_second", previous.PerSecond)
+}
+
+// reportUnreadableRate logs each unreadable value once; the limit known before stays in force; mu must be locked.
+func (w *Worker) reportUnreadableRate(i pomelo.Instance, value string) {
+	if value == w.unreadableRate {
+		return
+	}
+	w.unreadableRate = value
+	w.log.Warn("upstream_limit_unreadable", "upstream", i.ID, "value", value, "remedy", "state a number of requests a second, 0 or more")
+}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -22,11 +22,14 @@
 	onChange func(pomelo.Instance, bool)
 	guard    *guard.Guard
 
-	mu       sync.Mutex
-	state    state
-	running  map[string]*runningCall
-	inFlight int
-	draining bool
+	mu    sync.Mutex
+	state state
+	rate  pomelo.RateStatement
+	// unreadableRate is the last limit stated by the upstream that is not a number.
+	unreadableRate string
+	running        map[string]*runningCall
+	inFlight       int
+	draining       bool
 }
 
 // New returns a worker without an upstream; onChange is called after each change of the upstream, with whether it accepts calls.
@@ -44,6 +47,7 @@
 	for _, o := range opts {
 		o(w)
 	}
+	link.OnResponse(w.recordResponse)
 	return w
 }
 
@@ -57,6 +61,10 @@
 	}
 	previous := w.state
 	w.state = state{instance: i, known: true}
+	if !previous.isSameStart(i) {
+		w.rate = pomelo.RateStatement{}
+		w.unreadableRate = ""
+	}
 	isChanged := !previous.known || identityOf(previous.instance) != identityOf(i)
 	w.mu.Unlock()
 	if !isChanged {
@@ -195,6 +203,7 @@
 	if f != nil {
 		return pomelo.Refuse(c.ID, f)
 	}
+	w.metrics.Count("worker.sent", 1)
 	a := w.link.Do(ctx, i, c)
 	a.ReachedUpstream = true
 	return a
