TestRequestsOverStatedLimit: an upstream that states a limit gets more than that; known red

Three nodes with 30 requests a second each and three upstreams, of which one states Server-Limit: 10.

--- a/mesh/path_test.go
+++ b/mesh/path_test.go
@@ -53,10 +53,21 @@
 	id         string
 	server     *httptest.Server
 	executions atomic.Int64
+	arrivals   arrivals
+	// limit is the text of the stated limit, or empty.
+	limit atomic.Value
+}
+
+func (u *upstream) stateLimit(v string) {
+	u.limit.Store(v)
 }
 
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	u.arrivals.add()
+	if v, _ := u.limit.Load().(string); v != "" {
+		w.Header().Set("Server-Limit", v)
+	}
 	if r.Header.Get("Expected-Instance") != u.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
