Queue: calls to an upstream that states a limit start no faster than that

An upstream that stated 13.5 requests a second kept receiving 29 to 48; callers were served. Cause: the response's Server-Limit was forwarded and not read. Class: a statement that an upstream makes about itself on the request path, beside its heartbeats, had no reader. Fix: every call to an upstream passes through the node beside it, which therefore knows all requests from all nodes. Its queue spaces the starts; calls wait in their order or are refused as not run, and are then sent to other members. The callers see the lower capacity as load. No node needs to agree with another. TestStatedLimit holds the spacing, its end, and the refusal.

--- a/call.go
+++ b/call.go
@@ -63,9 +63,11 @@
 	SelfTime Millis `cbor:"8,keyasint,omitempty"`
 	// ReachedUpstream marks a refused call that was sent to the upstream.
 	ReachedUpstream bool `cbor:"9,keyasint,omitempty"`
-	// Load is the number of calls running and waiting at the serving node, divided by the upstream's slots.
+	// Load is the number of calls running and waiting at the serving node, divided by Capacity.
 	Load float64 `cbor:"10,keyasint,omitempty"`
-	Body []byte  `cbor:"-"`
+	// Capacity is the number of calls that the upstream can run at the same time; 0 when unknown.
+	Capacity float64 `cbor:"11,keyasint,omitempty"`
+	Body     []byte  `cbor:"-"`
 }
 
 // Refuse returns the answer that refuses call id with f.
--- a/control.go
+++ b/control.go
@@ -20,6 +20,15 @@
 	ShedThreshold(account string) float64
 }
 
+// PacedLimiter is a ConcurrencyLimiter that also limits the calls that start in a second.
+type PacedLimiter interface {
+	ConcurrencyLimiter
+	// SetRate sets the limit that the upstream states.
+	SetRate(r RateStatement)
+	// Capacity returns the number of calls that the upstream can run at the same time: its slots, or fewer under a stated limit.
+	Capacity() float64
+}
+
 // Picker chooses the member to send a call to, except those already tried.
 type Picker interface {
 	Pick(c Call, members []Member, tried []string) (Member, bool)
--- a/place/state.go
+++ b/place/state.go
@@ -42,6 +42,8 @@
 	// load is the number of calls at the member divided by its slots, as of its last report at loadAt.
 	load   float64
 	loadAt pomelo.Millis
+	// capacity is the number of calls that the member's upstream can run at the same time, as last reported; 0 before the first report.
+	capacity float64
 	// sentSince estimates the calls that the reported load does not include.
 	sentSince int
 	// slowness is the member's self time divided by the mean self time of the same route.
@@ -71,6 +73,7 @@
 	if a.Load > 0 || a.Refusal == nil {
 		s.load = a.Load
 		s.loadAt = now
+		s.capacity = a.Capacity
 		s.sentSince = s.inFlight / 2
 	}
 }
@@ -162,5 +165,9 @@
 	if load > 1 {
 		load = 1 + (load-1)*math.Exp2(-float64(now-s.loadAt)/overloadHalfLife)
 	}
-	return load + float64(s.sentSince)/float64(max(slots, 1))
+	capacity := s.capacity
+	if capacity == 0 {
+		capacity = float64(slots)
+	}
+	return load + float64(s.sentSince)/max(capacity, 1)
 }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -42,6 +42,9 @@
 	meanRunTime  float64
 	random       *rand.Rand
 	cutoff       *cutoff.Cutoff
+	pacer        pacer
+	// cancelStart cancels the wait for the next start that the pacer allows; nil when none is in progress.
+	cancelStart context.CancelFunc
 	// immediateShare is the moving average of the share of arrivals that are admitted without queueing.
 	immediateShare float64
 }
@@ -70,6 +73,28 @@
 	q.dispatch()
 }
 
+// SetRate sets the limit that the upstream states; calls start no faster, and wait or are refused meanwhile.
+func (q *Queue) SetRate(r pomelo.RateStatement) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.cancelStart != nil {
+		q.cancelStart()
+		q.cancelStart = nil
+	}
+	q.pacer.set(q.clock.Now(), r)
+	q.dispatch()
+}
+
+// Capacity returns the number of calls that the upstream can run at the same time; under a stated limit, those that start in the mean run time.
+func (q *Queue) Capacity() float64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.pacer.isLimited() {
+		return float64(q.slots)
+	}
+	return min(float64(q.slots), max(1, q.pacer.perSecond()*q.meanRunTime/millisPerSecond))
+}
+
 // ShedThreshold returns the position in the shedding order below which the account's calls are being refused.
 func (q *Queue) ShedThreshold(account string) float64 {
 	q.mu.Lock()
@@ -121,7 +146,7 @@
 	q.cutoff.Advance(w.arrived, q.immediateShare < saturatedShare)
 	q.cutoff.RecordArrival(c.FairShareAccount, w.rank.Importance)
 	q.immediateShare -= arrivalWeight * q.immediateShare
-	if q.running < q.slots && len(q.waiting) == 0 {
+	if q.running < q.slots && len(q.waiting) == 0 && q.pacer.tryStart(w.arrived) {
 		q.immediateShare += arrivalWeight
 		q.admit(w)
 		return w, nil
@@ -164,7 +189,8 @@
 	if q.slots <= 0 {
 		return maxDrainTime
 	}
-	return pomelo.Millis(float64(ahead+1) * q.meanRunTime / float64(q.slots))
+	wait := pomelo.Millis(float64(ahead+1) * q.meanRunTime / float64(q.slots))
+	return max(wait, q.pacer.wait(q.clock.Now(), ahead))
 }
 
 // trim sheds the last calls of a queue that is too long.
@@ -176,13 +202,18 @@
 	}
 }
 
-// dispatch admits waiting calls in their order while slots are free, and sheds those that can't end in time.
+// dispatch admits waiting calls in their order while slots are free and the upstream's limit allows it, and sheds those that can't end in time.
 func (q *Queue) dispatch() {
 	now := q.clock.Now()
 	for q.running < q.slots && len(q.waiting) > 0 {
 		w := q.waiting[0]
+		isLate := now > w.latestStart()
+		if !isLate && !q.pacer.tryStart(now) {
+			q.scheduleStart(now)
+			return
+		}
 		q.waiting = q.waiting[1:]
-		if now > w.latestStart() {
+		if isLate {
 			q.shed(w, "the call waited too long to end in time")
 			continue
 		}
@@ -190,6 +221,27 @@
 	}
 }
 
+// scheduleStart dispatches again once the pacer allows a start.
+func (q *Queue) scheduleStart(now pomelo.Millis) {
+	if q.cancelStart != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	q.cancelStart = cancel
+	wait := max(1, q.pacer.wait(now, 0))
+	go func() {
+		defer cancel()
+		_ = q.clock.Sleep(ctx, wait)
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		if ctx.Err() != nil {
+			return
+		}
+		q.cancelStart = nil
+		q.dispatch()
+	}()
+}
+
 func (q *Queue) shed(w *waiter, message string) {
 	q.cutoff.RecordRefused(w.call.FairShareAccount, w.rank.Importance)
 	w.decide(q.overloadFault(message))
--- a/worker/statement.go
+++ b/worker/statement.go
@@ -21,10 +21,11 @@
 	}
 }
 
-// setRate logs a change of the limit that the upstream states; mu must be locked.
+// setRate applies and logs a change of the limit that the upstream states; mu must be locked.
 func (w *Worker) setRate(i pomelo.Instance, r pomelo.RateStatement) {
 	previous := w.rate
 	w.rate = r
+	w.limiter.SetRate(r)
 	w.metrics.Gauge("worker.stated_limit", r.PerSecond)
 	w.log.Info("upstream_limit", "upstream", i.ID, "limited", r.Limited, "per_second", r.PerSecond, "was_limited", previous.Limited, "was_per_second", previous.PerSecond)
 }
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -15,7 +15,7 @@
 // Worker implements pomelo.Handler for this node's upstream.
 type Worker struct {
 	clock    pomelo.Clock
-	limiter  pomelo.ConcurrencyLimiter
+	limiter  pomelo.PacedLimiter
 	link     *uplink.Client
 	metrics  pomelo.Metrics
 	log      pomelo.Logger
@@ -33,7 +33,7 @@
 }
 
 // New returns a worker without an upstream; onChange is called after each change of the upstream, with whether it accepts calls.
-func New(clock pomelo.Clock, limiter pomelo.ConcurrencyLimiter, link *uplink.Client, metrics pomelo.Metrics, log pomelo.Logger, onChange func(pomelo.Instance, bool), opts ...func(*Worker)) *Worker {
+func New(clock pomelo.Clock, limiter pomelo.PacedLimiter, link *uplink.Client, metrics pomelo.Metrics, log pomelo.Logger, onChange func(pomelo.Instance, bool), opts ...func(*Worker)) *Worker {
 	w := &Worker{
 		clock:    clock,
 		limiter:  limiter,
@@ -64,6 +64,7 @@
 	if !previous.isSameStart(i) {
 		w.rate = pomelo.RateStatement{}
 		w.unreadableRate = ""
+		w.limiter.SetRate(w.rate)
 	}
 	isChanged := !previous.known || identityOf(previous.instance) != identityOf(i)
 	w.mu.Unlock()
@@ -174,7 +175,8 @@
 	a := w.waitAndRun(ctx, c, arrived)
 	ownCall := pomelo.SubtreeCalls{Service: c.Service, Calls: 1, ShedThreshold: w.limiter.ShedThreshold(c.FairShareAccount)}
 	a.SubtreeCalls = append(w.release(c), ownCall)
-	a.Load = w.load()
+	a.Capacity = w.limiter.Capacity()
+	a.Load = float64(w.Running()) / max(a.Capacity, 1)
 	return a
 }
 
@@ -236,13 +238,6 @@
 	return nil
 }
 
-// load returns the number of running and waiting calls for each of the upstream's slots.
-func (w *Worker) load() float64 {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return float64(w.inFlight) / float64(max(w.state.instance.Slots, 1))
-}
-
 // release removes the call from the running calls and returns the calls of its subtree.
 func (w *Worker) release(c pomelo.Call) []pomelo.SubtreeCalls {
 	w.mu.Lock()
