Worker: an upstream whose responses say that it leaves gets no more calls

An upstream that says so in its responses, and whose heartbeats still say ready or have stopped, kept its share of the calls until it ended. Fix: the first such response makes the serving node refuse calls, as not run, and its record say so, until the upstream starts again. A later heartbeat does not take that back, as it may be older.

--- a/dialect.go
+++ b/dialect.go
@@ -38,6 +38,8 @@
 	UpstreamReplaced bool
 	// RetryAfter is the delay before a retry, in milliseconds; 0 when the upstream states none.
 	RetryAfter Millis
+	// Leaving marks an upstream that accepts no new calls because it is about to stop.
+	Leaving bool
 	// Rate is the limit that the upstream states, and UnreadableRate its text if that is no such number.
 	Rate           RateStatement
 	UnreadableRate string
--- a/mesh/path_test.go
+++ b/mesh/path_test.go
@@ -55,7 +55,8 @@
 	executions atomic.Int64
 	arrivals   arrivals
 	// limit is the text of the stated limit, or empty.
-	limit atomic.Value
+	limit   atomic.Value
+	leaving atomic.Bool
 }
 
 func (u *upstream) stateLimit(v string) {
@@ -68,6 +69,9 @@
 	if v, _ := u.limit.Load().(string); v != "" {
 		w.Header().Set("Server-Limit", v)
 	}
+	if u.leaving.Load() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if r.Header.Get("Expected-Instance") != u.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
--- a/worker/state.go
+++ b/worker/state.go
@@ -6,6 +6,16 @@
 type state struct {
 	instance pomelo.Instance
 	known    bool
+	// left marks an upstream that takes no new calls until it starts again, whatever its heartbeats say.
+	left bool
+}
+
+// replace takes over a heartbeat; an upstream that has left stays so until it starts again.
+func (s *state) replace(i pomelo.Instance) {
+	s.left = s.left && s.isSameStart(i)
+	i.Draining = i.Draining || s.left
+	s.instance = i
+	s.known = true
 }
 
 // isSameStart reports whether i is the known upstream, started at the same time.
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -60,7 +60,8 @@
 		return
 	}
 	previous := w.state
-	w.state = state{instance: i, known: true}
+	w.state.replace(i)
+	i = w.state.instance
 	if !previous.isSameStart(i) {
 		w.rate = pomelo.RateStatement{}
 		w.unreadableRate = ""
