Worker: a late heartbeat does not bring back an upstream that has deregistered

A heartbeat that was sent before the deregistration, and arrives after it, has a higher sequence number than the last one known, and made the upstream serve again until it ended. After a restart of its node any heartbeat did, since the record named no upstream that had left. Fix: a deregistration that names the start is final for that start, and the member's record keeps it for the next process. One that names none can be taken back by a later heartbeat, as before. Changes of the upstream now reach the member's record in their order: onChange is called under the worker's lock.

--- a/dialect.go
+++ b/dialect.go
@@ -67,6 +67,8 @@
 	Slots   int
 	// Draining marks an upstream that accepts no new calls.
 	Draining bool
+	// Left marks an upstream that accepts no new calls until it starts again, whatever its heartbeats say.
+	Left bool
 	// WarmupLeft is the remaining time, in milliseconds, in which the upstream still responds slowly after its start.
 	WarmupLeft Millis
 	// Sequence increases with each heartbeat of one start, and StartedAt is the time of that start.
--- a/member.go
+++ b/member.go
@@ -20,6 +20,8 @@
 	UpstreamID        string `json:"upstream_id,omitempty"`
 	UpstreamAddress   string `json:"upstream_address,omitempty"`
 	UpstreamStartedAt Millis `json:"upstream_born_ms,omitempty"`
+	// UpstreamLeft marks a known upstream that accepts no new calls until it starts again.
+	UpstreamLeft bool `json:"upstream_left,omitempty"`
 	// Epoch is the store's epoch that the process knew when it wrote the record; a lower one than the store's marks a record of the copy from which the store returned.
 	Epoch int64 `json:"epoch,omitempty"`
 }
--- a/mesh/components.go
+++ b/mesh/components.go
@@ -167,9 +167,10 @@
 			x.Service = i.Service
 			x.Slots = i.Slots
 			x.UpstreamID = ""
-			if serving {
+			if serving || i.Left {
 				x.UpstreamID = i.ID
 			}
+			x.UpstreamLeft = i.Left
 			x.UpstreamAddress = i.Address
 			x.UpstreamStartedAt = i.StartedAt
 			x.SetDraining(!serving || n.stopping.Load())
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -118,6 +118,7 @@
 			Zone:      m.AvailabilityZone,
 			Slots:     m.Slots,
 			StartedAt: m.UpstreamStartedAt,
+			Left:      m.UpstreamLeft,
 		})
 	}
 }
--- a/view/members.go
+++ b/view/members.go
@@ -33,7 +33,7 @@
 		switch {
 		case !m.Draining:
 			out = append(out, m)
-		case m.UpstreamID != "":
+		case m.UpstreamID != "" && !m.UpstreamLeft:
 			draining = append(draining, m)
 		}
 	}
--- a/worker/state.go
+++ b/worker/state.go
@@ -6,18 +6,22 @@
 type state struct {
 	instance pomelo.Instance
 	known    bool
-	// left marks an upstream that takes no new calls until it starts again, whatever its heartbeats say.
-	left bool
 }
 
 // replace takes over a heartbeat; an upstream that has left stays so until it starts again.
 func (s *state) replace(i pomelo.Instance) {
-	s.left = s.left && s.isSameStart(i)
-	i.Draining = i.Draining || s.left
+	i.Left = s.instance.Left && s.isSameStart(i)
+	i.Draining = i.Draining || i.Left
 	s.instance = i
 	s.known = true
 }
 
+// leave marks the upstream as having left.
+func (s *state) leave() {
+	s.instance.Left = true
+	s.instance.Draining = true
+}
+
 // isSameStart reports whether i is the known upstream, started at the same time.
 func (s *state) isSameStart(i pomelo.Instance) bool {
 	return s.known && s.instance.ID == i.ID && s.instance.StartedAt == i.StartedAt
--- a/worker/statement.go
+++ b/worker/statement.go
@@ -16,14 +16,12 @@
 // leave stops new calls to the upstream for good: heartbeats from before it said so may arrive later.
 func (w *Worker) leave(i pomelo.Instance) {
 	w.mu.Lock()
-	if !w.state.isSameStart(i) || w.state.left {
-		w.mu.Unlock()
+	defer w.mu.Unlock()
+	if !w.state.isSameStart(i) || w.state.instance.Left {
 		return
 	}
-	w.state.left = true
-	w.state.instance.Draining = true
+	w.state.leave()
 	i = w.state.instance
-	w.mu.Unlock()
 	w.log.Info("upstream_leaving", "upstream", i.ID, "service", i.Service, "born", i.StartedAt, "sequence", i.Sequence)
 	w.onChange(i, false)
 }
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -32,7 +32,7 @@
 	draining       bool
 }
 
-// New returns a worker without an upstream; onChange is called after each change of the upstream, with whether it accepts calls.
+// New returns a worker without an upstream; onChange is called at each change of the upstream, in their order, with whether it accepts calls; it must neither block nor call the worker.
 func New(clock pomelo.Clock, limiter pomelo.PacedLimiter, link *uplink.Client, metrics pomelo.Metrics, log pomelo.Logger, onChange func(pomelo.Instance, bool), opts ...func(*Worker)) *Worker {
 	w := &Worker{
 		clock:    clock,
@@ -54,8 +54,8 @@
 // Announce applies a heartbeat of the upstream; late and repeated heartbeats are ignored.
 func (w *Worker) Announce(i pomelo.Instance) {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	if !w.state.isReplacedBy(i) {
-		w.mu.Unlock()
 		w.log.Info("heartbeat_ignored", "upstream", i.ID, "born", i.StartedAt, "sequence", i.Sequence, "reason", "outdated")
 		return
 	}
@@ -67,9 +67,7 @@
 		w.unreadableRate = ""
 		w.limiter.SetRate(w.rate)
 	}
-	isChanged := !previous.known || identityOf(previous.instance) != identityOf(i)
-	w.mu.Unlock()
-	if !isChanged {
+	if previous.known && identityOf(previous.instance) == identityOf(i) {
 		return
 	}
 	w.log.Info("upstream_changed", "upstream", i.ID, "service", i.Service, "born", i.StartedAt, "sequence", i.Sequence, "slots", i.Slots, "leaving", i.Draining, "warmup_ms", i.WarmupLeft)
@@ -80,30 +78,35 @@
 // Resume restores the upstream that the node's previous process knew, unless a heartbeat has arrived; later heartbeats replace it.
 func (w *Worker) Resume(i pomelo.Instance) {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.state.known {
-		w.mu.Unlock()
 		return
 	}
-	w.state = state{instance: i, known: true}
-	w.mu.Unlock()
-	w.log.Info("upstream_resumed", "upstream", i.ID, "service", i.Service, "born", i.StartedAt, "slots", i.Slots)
+	w.state.replace(i)
+	if i.Left {
+		w.state.leave()
+	}
+	i = w.state.instance
+	w.log.Info("upstream_resumed", "upstream", i.ID, "service", i.Service, "born", i.StartedAt, "slots", i.Slots, "left", i.Left)
 	w.limiter.SetCapacity(i.Slots, 0)
-	w.onChange(i, true)
+	w.onChange(i, !i.Draining)
 }
 
-// Withdraw applies a deregistration of the upstream; startedAt is the start time of the upstream process, or 0 if unknown.
+// Withdraw applies a deregistration of the upstream; startedAt is the start time of the upstream process, or 0 if unknown, and a later heartbeat of that start then takes the deregistration back.
 func (w *Worker) Withdraw(id string, startedAt pomelo.Millis) {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	i := w.state.instance
 	if !w.state.known || i.ID != id || startedAt != 0 && startedAt < i.StartedAt {
-		w.mu.Unlock()
 		w.log.Info("withdrawal_ignored", "upstream", id, "born", startedAt, "known", i.ID)
 		return
 	}
 	w.state.instance.Draining = true
+	if startedAt != 0 {
+		w.state.leave()
+	}
 	i = w.state.instance
-	w.mu.Unlock()
-	w.log.Info("upstream_withdrawn", "upstream", id, "born", i.StartedAt)
+	w.log.Info("upstream_withdrawn", "upstream", id, "born", i.StartedAt, "left", i.Left)
 	w.onChange(i, false)
 }
 
