Worker: a node that restarts keeps to the limit that its upstream stated before

A new process knew no limit until its upstream's first response, and started as many calls as there are slots: 56 to 60 requests in 4 s at an upstream that states 5 a second and takes 1.5 s for a response, 35 allowed. Fix: answers between nodes carry what the upstream states; a sender keeps it and returns it with its next call, which is the first that the new process hears. Nothing is written to the store, where a limit that changes with each response would cost a write each. An own response replaces it at once. What a sender knows of an upstream that has left goes the same way.

--- a/call.go
+++ b/call.go
@@ -35,7 +35,9 @@
 	FairShareAccount string `cbor:"20,keyasint,omitempty"`
 	// LatencyObjective is the route's latency objective, in milliseconds.
 	LatencyObjective Millis `cbor:"21,keyasint,omitempty"`
-	Body             []byte `cbor:"-"`
+	// Notice is what the sender knows of the member's upstream, for a node that has restarted since; nil when it knows nothing.
+	Notice *UpstreamNotice `cbor:"22,keyasint,omitempty"`
+	Body   []byte          `cbor:"-"`
 	// Deadline is the local clock's time at which TimeLeft ends; it is never sent to another node.
 	Deadline Millis `cbor:"-"`
 }
@@ -67,7 +69,9 @@
 	Load float64 `cbor:"10,keyasint,omitempty"`
 	// Capacity is the number of calls that the upstream can run at the same time; 0 when unknown.
 	Capacity float64 `cbor:"11,keyasint,omitempty"`
-	Body     []byte  `cbor:"-"`
+	// Notice is what the upstream has stated about itself; nil before its first response.
+	Notice *UpstreamNotice `cbor:"12,keyasint,omitempty"`
+	Body   []byte          `cbor:"-"`
 }
 
 // Refuse returns the answer that refuses call id with f.
--- a/mesh/path_test.go
+++ b/mesh/path_test.go
@@ -57,6 +57,8 @@
 	// limit is the text of the stated limit, or empty.
 	limit   atomic.Value
 	leaving atomic.Bool
+	// delay is the time of each response, in nanoseconds.
+	delay atomic.Int64
 }
 
 func (u *upstream) stateLimit(v string) {
@@ -77,6 +79,7 @@
 		return
 	}
 	u.executions.Add(1)
+	time.Sleep(time.Duration(u.delay.Load()))
 	body, _ := io.ReadAll(r.Body)
 	w.Header().Set("Server-Seal", "sealed")
 	fmt.Fprintf(w, "%s %s account=%s origin=%s key=%s body=%d", r.Method, r.URL.Path, r.Header.Get("Tenant"), r.Header.Get("Caller-Service"), r.Header.Get("Authorization"), len(body))
--- a/send/sender.go
+++ b/send/sender.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/notice"
 )
 
 const noUpstreamRetryAfter = pomelo.Millis(1000)
@@ -18,6 +19,7 @@
 	local       pomelo.Handler
 	metrics     pomelo.Metrics
 	retryBudget pomelo.RetryBudget
+	notices     *notice.Board
 	// maxPlacements bounds the members that one call is sent to where a refusal before the upstream costs no retry; at 0 every further attempt costs one.
 	maxPlacements int
 	// maxAttempts bounds the attempts of one call that its upstreams reject and that no other member may be tried for; at 0 no member is sent the call twice.
@@ -34,6 +36,7 @@
 		local:       local,
 		metrics:     metrics,
 		retryBudget: unlimited{},
+		notices:     notice.New(clock),
 	}
 	for _, o := range opts {
 		o(s)
@@ -158,8 +161,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.TimeLeft.Duration())
 	defer cancel()
+	c.Notice = s.notices.Of(m.VM)
 	s.picker.Sent(m)
 	a := s.dispatch(ctx, m, c)
+	s.notices.Record(m.VM, a.Notice)
 	s.picker.Done(m, c, s.clock.Now()-now, a)
 	return a
 }
--- a/worker/statement.go
+++ b/worker/statement.go
@@ -26,12 +26,38 @@
 	w.onChange(i, false)
 }
 
+// adopt takes over what another node was told by this node's previous process. A limit counts until the upstream's first response.
+func (w *Worker) adopt(n pomelo.UpstreamNotice) {
+	w.mu.Lock()
+	i := w.state.instance
+	isCurrent := w.state.known && n.IsAbout(i)
+	if isCurrent && !w.responded && !w.rate.Limited && n.Rate.Limited {
+		w.setRate(i, n.Rate)
+	}
+	w.mu.Unlock()
+	if isCurrent && n.Left {
+		w.leave(i)
+	}
+}
+
+// notice returns what the upstream has stated; nil before its first response, unless it has left.
+func (w *Worker) notice() *pomelo.UpstreamNotice {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	i := w.state.instance
+	if !w.responded && !i.Left {
+		return nil
+	}
+	return &pomelo.UpstreamNotice{UpstreamID: i.ID, StartedAt: i.StartedAt, Rate: w.rate, Left: i.Left}
+}
+
 func (w *Worker) recordRate(i pomelo.Instance, info pomelo.ResponseInfo) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.state.isSameStart(i) {
 		return
 	}
+	w.responded = true
 	if info.UnreadableRate != "" {
 		w.reportUnreadableRate(i, info.UnreadableRate)
 		return
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -25,6 +25,8 @@
 	mu    sync.Mutex
 	state state
 	rate  pomelo.RateStatement
+	// responded is true once this process has had a response of the upstream's present start.
+	responded bool
 	// unreadableRate is the last limit stated by the upstream that is not a number.
 	unreadableRate string
 	running        map[string]*runningCall
@@ -63,6 +65,7 @@
 	w.state.replace(i)
 	i = w.state.instance
 	if !previous.isSameStart(i) {
+		w.responded = false
 		w.rate = pomelo.RateStatement{}
 		w.unreadableRate = ""
 		w.limiter.SetRate(w.rate)
@@ -160,8 +163,12 @@
 
 // Handle runs one call at the upstream; its refusals are final, and it spends no retries.
 func (w *Worker) Handle(ctx context.Context, c pomelo.Call) pomelo.Answer {
+	if c.Notice != nil {
+		w.adopt(*c.Notice)
+	}
 	a := w.handle(ctx, c)
 	a.RetriesLeft = c.RetriesLeft
+	a.Notice = w.notice()
 	return a
 }
 
