Detect: the log names an upstream that crashed, and the content of the calls that it ran

A call whose connection ended is logged with the fingerprint of its content and account; if the upstream then refuses connections, upstream_crashed counts the suspects. An upstream that breaks off single calls still accepts connections, and is no crash. Nothing acts on it yet.

--- a/mesh/components.go
+++ b/mesh/components.go
@@ -9,6 +9,7 @@
 	"github.com/pomeloworks/pomelo/beacon"
 	"github.com/pomeloworks/pomelo/budget"
 	"github.com/pomeloworks/pomelo/clock"
+	"github.com/pomeloworks/pomelo/detect"
 	"github.com/pomeloworks/pomelo/dialer"
 	"github.com/pomeloworks/pomelo/fence"
 	"github.com/pomeloworks/pomelo/guard"
@@ -162,6 +163,7 @@
 
 func newWorker(n *Node, c *clock.Clock, q *queue.Queue, b *beacon.Announcer, bodies *budget.Budget, m *metric.Sink, log pomelo.Logger) *worker.Worker {
 	client := uplink.New(n.host.Dialect, c, m, uplink.WithBudget(bodies))
+	detector := detect.New(c, log, m, n.settings.VM, client.IsRefused)
 	describe := func(i pomelo.Instance, serving bool) {
 		b.UpdateMember(func(x *pomelo.Member) {
 			x.Service = i.Service
@@ -176,7 +178,7 @@
 			x.SetDraining(!serving || n.stopping.Load())
 		})
 	}
-	return worker.New(c, q, client, m, log, describe)
+	return worker.New(c, q, client, detector, m, log, describe)
 }
 
 func newFence(c *clock.Clock, w *worker.Worker, log pomelo.Logger) *fence.Table {
--- a/uplink/client.go
+++ b/uplink/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/pomeloworks/pomelo"
@@ -81,6 +82,15 @@
 	return a
 }
 
+// IsRefused reports whether the address refuses connections, as it does after its process has ended.
+func (cl *Client) IsRefused(ctx context.Context, address string) bool {
+	conn, err := dial(ctx, address)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // Close closes the idle connections.
 func (cl *Client) Close() {
 	cl.pool.get("", 0)
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/detect"
 	"github.com/pomeloworks/pomelo/guard"
 	"github.com/pomeloworks/pomelo/uplink"
 )
@@ -17,6 +18,7 @@
 	clock    pomelo.Clock
 	limiter  pomelo.PacedLimiter
 	link     *uplink.Client
+	detector *detect.Detector
 	metrics  pomelo.Metrics
 	log      pomelo.Logger
 	onChange func(pomelo.Instance, bool)
@@ -35,11 +37,12 @@
 }
 
 // New returns a worker without an upstream; onChange is called at each change of the upstream, in their order, with whether it accepts calls; it must neither block nor call the worker.
-func New(clock pomelo.Clock, limiter pomelo.PacedLimiter, link *uplink.Client, metrics pomelo.Metrics, log pomelo.Logger, onChange func(pomelo.Instance, bool), opts ...func(*Worker)) *Worker {
+func New(clock pomelo.Clock, limiter pomelo.PacedLimiter, link *uplink.Client, detector *detect.Detector, metrics pomelo.Metrics, log pomelo.Logger, onChange func(pomelo.Instance, bool), opts ...func(*Worker)) *Worker {
 	w := &Worker{
 		clock:    clock,
 		limiter:  limiter,
 		link:     link,
+		detector: detector,
 		metrics:  metrics,
 		log:      log,
 		onChange: onChange,
@@ -219,6 +222,9 @@
 	w.metrics.Count("worker.sent", 1)
 	a := w.link.Do(ctx, i, c)
 	a.ReachedUpstream = true
+	if a.Refusal != nil && a.Refusal.Kind == pomelo.KindUpstreamFailed {
+		w.detector.BrokeOff(i, c)
+	}
 	return a
 }
 
