TestRequestThatCrashesUpstreams: a request that crashes its upstreams is repeated without end; known red

Three nodes whose upstreams crash under one request, which comes again and again: 21 crashes later than 3 s after the third one, 3 allowed.

--- a/mesh/path_test.go
+++ b/mesh/path_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -59,6 +60,9 @@
 	leaving atomic.Bool
 	// delay is the time of each response, in nanoseconds.
 	delay atomic.Int64
+	// startedAt is the time of the present start, which grows with each crash.
+	startedAt atomic.Int64
+	mu        sync.Mutex
 }
 
 func (u *upstream) stateLimit(v string) {
@@ -80,6 +84,10 @@
 	}
 	u.executions.Add(1)
 	time.Sleep(time.Duration(u.delay.Load()))
+	if r.URL.Path == crashPath {
+		u.crash()
+		panic(http.ErrAbortHandler)
+	}
 	body, _ := io.ReadAll(r.Body)
 	w.Header().Set("Server-Seal", "sealed")
 	fmt.Fprintf(w, "%s %s account=%s origin=%s key=%s body=%d", r.Method, r.URL.Path, r.Header.Get("Tenant"), r.Header.Get("Caller-Service"), r.Header.Get("Authorization"), len(body))
@@ -127,8 +135,9 @@
 
 func (f *fleet) addNode(i int) {
 	u := &upstream{id: "i-" + strconv.Itoa(i)}
+	u.startedAt.Store(1)
 	u.server = httptest.NewServer(u)
-	f.t.Cleanup(u.server.Close)
+	f.t.Cleanup(func() { u.current().Close() })
 	s := httptest.NewServer(f.store.Handler(strconv.Itoa(i)))
 	f.t.Cleanup(s.Close)
 	settings := pomelo.HostSettings{
@@ -169,7 +178,7 @@
 }
 
 func (m *member) heartbeat(state string, seq int) int {
-	body := fmt.Sprintf(`{"address":%q,"info":{"service":"shop","version":"v1","zone":"z","slots":50},"status":{"state":%q,"seq":%d,"warmup_left_ms":0},"born":1}`, m.settings.UpstreamAddress, state, seq)
+	body := fmt.Sprintf(`{"address":%q,"info":{"service":"shop","version":"v1","zone":"z","slots":50},"status":{"state":%q,"seq":%d,"warmup_left_ms":0},"born":%d}`, m.settings.UpstreamAddress, state, seq, m.upstream.startedAt.Load())
 	resp, err := http.Post("http://"+m.settings.ControlAddress+"/instances/"+m.upstream.id+"/heartbeat", "application/json", strings.NewReader(body))
 	if err != nil {
 		return 0
