Filter: a request under which three upstreams have crashed is refused by its content, at every node

A request that ends each upstream that runs it comes again with new ids; 13 and 16 upstreams ended under two of them, and most requests of those services failed meanwhile, since no upstream was up for long. Cause: nothing in the fleet remembers what an upstream ended under. Class: state about a request is kept by its id, and each repeat has a new one. Ruled out as the only cause: the nodes' own retries, at most one an attempt; calls that wait for an upstream, as the arrival at 12.660 s came 0.9 s after the start. Fix: the node beside an upstream that crashes writes one record with the contents of the calls that ran. All nodes watch these records and refuse a content with three crashes, as not run, at the entry and before the upstream. An answer clears a content, so that calls which merely ran at crashes go on. Records end after ten minutes by their lease: then an upstream that was repaired is tried again.

--- a/crash.go
+++ b/crash.go
@@ -1,5 +1,8 @@
 package pomelo
 
+// CrashTTL is the time, in milliseconds, for which a crash is held against its suspects.
+const CrashTTL = Millis(600_000)
+
 // Crash is the end of an upstream's process while it ran calls.
 type Crash struct {
 	VM         string `json:"vm"`
--- a/fault.go
+++ b/fault.go
@@ -43,6 +43,7 @@
 	KindNotApplied           Kind = "not_in_force"
 	KindInvariantViolated    Kind = "promise_broken"
 	KindRetriesExceeded      Kind = "retries_exceeded"
+	KindBlocked              Kind = "blocked"
 )
 
 // Ran states whether a request may have run at an upstream.
--- a/header.go
+++ b/header.go
@@ -30,6 +30,7 @@
 const (
 	PrefixAll       = "pomelo/"
 	PrefixMember    = PrefixAll + "member/"
+	PrefixCrash     = PrefixAll + "crash/"
 	PrefixConfig    = PrefixAll + "config/"
 	PrefixAccount   = PrefixConfig + "account/"
 	PrefixKey       = PrefixConfig + "key/"
--- a/mesh/components.go
+++ b/mesh/components.go
@@ -12,6 +12,7 @@
 	"github.com/pomeloworks/pomelo/detect"
 	"github.com/pomeloworks/pomelo/dialer"
 	"github.com/pomeloworks/pomelo/fence"
+	"github.com/pomeloworks/pomelo/filter"
 	"github.com/pomeloworks/pomelo/guard"
 	"github.com/pomeloworks/pomelo/ident"
 	"github.com/pomeloworks/pomelo/inlet"
@@ -24,6 +25,7 @@
 	"github.com/pomeloworks/pomelo/place"
 	"github.com/pomeloworks/pomelo/queue"
 	"github.com/pomeloworks/pomelo/rates"
+	"github.com/pomeloworks/pomelo/record"
 	"github.com/pomeloworks/pomelo/retry"
 	"github.com/pomeloworks/pomelo/send"
 	"github.com/pomeloworks/pomelo/shed"
@@ -100,6 +102,8 @@
 		newDialer,
 		newRateLimiter,
 		newQueue,
+		newFilter,
+		newCrashes,
 		newWorker,
 		newFence,
 		newListen,
@@ -161,9 +165,20 @@
 	return queue.New(c, newSeed())
 }
 
-func newWorker(n *Node, c *clock.Clock, q *queue.Queue, b *beacon.Announcer, bodies *budget.Budget, m *metric.Sink, log pomelo.Logger) *worker.Worker {
+func newFilter(c *clock.Clock, m *metric.Sink, log pomelo.Logger) *filter.Filter {
+	return filter.New(c, log, m)
+}
+
+func newCrashes(n *Node, c *clock.Clock, o *outage.Outage, v *view.View, f *filter.Filter, log pomelo.Logger) *record.Crashes {
+	r := record.New(n.host.Store, c, log, o, f.Add)
+	v.OnRecord(pomelo.PrefixCrash, r.Apply)
+	return r
+}
+
+func newWorker(n *Node, c *clock.Clock, q *queue.Queue, b *beacon.Announcer, bodies *budget.Budget, f *filter.Filter, crashes *record.Crashes, m *metric.Sink, log pomelo.Logger) *worker.Worker {
 	client := uplink.New(n.host.Dialect, c, m, uplink.WithBudget(bodies))
-	detector := detect.New(c, log, m, n.settings.VM, client.IsRefused)
+	publish := func(x pomelo.Crash) { crashes.Publish(n.ctx, x) }
+	detector := detect.New(c, log, m, n.settings.VM, client.IsRefused, detect.WithOnCrash(publish))
 	describe := func(i pomelo.Instance, serving bool) {
 		b.UpdateMember(func(x *pomelo.Member) {
 			x.Service = i.Service
@@ -178,7 +193,7 @@
 			x.SetDraining(!serving || n.stopping.Load())
 		})
 	}
-	return worker.New(c, q, client, detector, m, log, describe)
+	return worker.New(c, q, client, detector, f, m, log, describe)
 }
 
 func newFence(c *clock.Clock, w *worker.Worker, log pomelo.Logger) *fence.Table {
@@ -199,10 +214,10 @@
 	return send.New(c, v, p, d, w, m, send.WithRetryBudget(r), send.WithMaxPlacements(maxPlacements), send.WithMaxAttempts(maxAttempts))
 }
 
-func newIntake(n *Node, c *clock.Clock, v *view.View, r *rates.Limiter, s *send.Sender, w *worker.Worker, m *metric.Sink, log pomelo.Logger) *intake.Intake {
+func newIntake(n *Node, c *clock.Clock, v *view.View, r *rates.Limiter, s *send.Sender, w *worker.Worker, f *filter.Filter, m *metric.Sink, log pomelo.Logger) *intake.Intake {
 	entryShedder := shed.New(c, s, m, shed.WithSeed(newSeed()))
 	g := guard.New(log)
-	return intake.New(c, n.host.Dialect, v, r, g.Handler(entryShedder), g.Handler(s), w, m, log, n.settings.Service, n.settings.KeyMaxAge)
+	return intake.New(c, n.host.Dialect, v, r, g.Handler(f.Handler(entryShedder)), g.Handler(f.Handler(s)), w, m, log, n.settings.Service, n.settings.KeyMaxAge)
 }
 
 func newInlet(c *clock.Clock, i *intake.Intake, v *view.View, bodies *budget.Budget, m *metric.Sink, log pomelo.Logger) *inlet.Server {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -46,13 +46,16 @@
 	components  components
 	stopping    atomic.Bool
 	servers     []*http.Server
-	cancel      context.CancelFunc
-	done        chan struct{}
+	// ctx ends when the node closes.
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   chan struct{}
 }
 
 // New builds a node from its components; it opens no listener before Start.
 func New(settings pomelo.HostSettings, host Host, opts ...func(*Node)) (*Node, error) {
 	n := &Node{settings: settings, host: host, output: os.Stdout, done: make(chan struct{})}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
 	for _, o := range opts {
 		o(n)
 	}
@@ -75,8 +78,7 @@
 	if err := n.listen(); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	n.cancel = cancel
+	ctx := n.ctx
 	n.components.View.OnChange(func() {}, sync.OnceFunc(n.resume))
 	go n.components.Spool.Run(ctx)
 	go n.watchLoad(ctx)
--- a/view/view.go
+++ b/view/view.go
@@ -54,6 +54,7 @@
 	onRelist       []func()
 	onStoreReturn  []func()
 	onDrop         []func()
+	onRecord       map[string]func(pomelo.Record)
 	index          atomic.Pointer[memberIndex]
 	peers          pomelo.Peers
 	metrics        pomelo.Metrics
@@ -88,6 +89,7 @@
 		census:    census.New(self().VM),
 		listed:    make(chan struct{}),
 		outage:    outage.New(),
+		onRecord:  map[string]func(pomelo.Record){},
 	}
 	v.index.Store(newMemberIndex(nil))
 	for _, o := range opts {
@@ -125,6 +127,11 @@
 	v.onDrop = append(v.onDrop, f)
 }
 
+// OnRecord registers a function that is called with each record under the prefix when it is listed or has changed, possibly more than once; it must be called before Run.
+func (v *View) OnRecord(prefix string, f func(pomelo.Record)) {
+	v.onRecord[prefix] = f
+}
+
 // OnChange registers change, called after each change of the members in order, and relisted, called after each new list, before which changes may have been missed; it must be called before Run.
 func (v *View) OnChange(change, relisted func()) {
 	v.onChange = append(v.onChange, change)
--- a/view/watch.go
+++ b/view/watch.go
@@ -30,6 +30,10 @@
 		return err
 	}
 	v.observeEpoch(l.Epoch)
+	// Listed after the members, from whose revision on changes are watched.
+	if err := v.listRecords(ctx); err != nil {
+		return err
+	}
 	v.mu.Lock()
 	if l.Epoch < v.proof.Epoch() {
 		v.mu.Unlock()
@@ -54,6 +58,19 @@
 	return nil
 }
 
+func (v *View) listRecords(ctx context.Context) error {
+	for prefix, f := range v.onRecord {
+		l, err := v.store.List(ctx, prefix)
+		if err != nil {
+			return err
+		}
+		for _, r := range l.Records {
+			f(r)
+		}
+	}
+	return nil
+}
+
 // watch applies changes until the member records must be listed again.
 func (v *View) watch(ctx context.Context) {
 	var changes batch
@@ -107,6 +124,12 @@
 		if strings.HasPrefix(r.Key, pomelo.PrefixMember) {
 			// Each change is reported separately, so that a member that joined and left within one response is not missed.
 			v.publish(v.applyMember(r, now), v.onChange)
+			continue
+		}
+		for prefix, f := range v.onRecord {
+			if strings.HasPrefix(r.Key, prefix) {
+				f(r)
+			}
 		}
 	}
 	v.mu.Lock()
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -6,6 +6,7 @@
 
 	"github.com/pomeloworks/pomelo"
 	"github.com/pomeloworks/pomelo/detect"
+	"github.com/pomeloworks/pomelo/filter"
 	"github.com/pomeloworks/pomelo/guard"
 	"github.com/pomeloworks/pomelo/uplink"
 )
@@ -19,6 +20,7 @@
 	limiter  pomelo.PacedLimiter
 	link     *uplink.Client
 	detector *detect.Detector
+	filter   *filter.Filter
 	metrics  pomelo.Metrics
 	log      pomelo.Logger
 	onChange func(pomelo.Instance, bool)
@@ -37,12 +39,13 @@
 }
 
 // New returns a worker without an upstream; onChange is called at each change of the upstream, in their order, with whether it accepts calls; it must neither block nor call the worker.
-func New(clock pomelo.Clock, limiter pomelo.PacedLimiter, link *uplink.Client, detector *detect.Detector, metrics pomelo.Metrics, log pomelo.Logger, onChange func(pomelo.Instance, bool), opts ...func(*Worker)) *Worker {
+func New(clock pomelo.Clock, limiter pomelo.PacedLimiter, link *uplink.Client, detector *detect.Detector, crashes *filter.Filter, metrics pomelo.Metrics, log pomelo.Logger, onChange func(pomelo.Instance, bool), opts ...func(*Worker)) *Worker {
 	w := &Worker{
 		clock:    clock,
 		limiter:  limiter,
 		link:     link,
 		detector: detector,
+		filter:   crashes,
 		metrics:  metrics,
 		log:      log,
 		onChange: onChange,
@@ -219,12 +222,16 @@
 	if f != nil {
 		return pomelo.Refuse(c.ID, f)
 	}
+	if f := w.filter.Refusal(c); f != nil {
+		return pomelo.Refuse(c.ID, f)
+	}
 	w.metrics.Count("worker.sent", 1)
 	a := w.link.Do(ctx, i, c)
 	a.ReachedUpstream = true
 	if a.Refusal != nil && a.Refusal.Kind == pomelo.KindUpstreamFailed {
 		w.detector.BrokeOff(i, c)
 	}
+	w.filter.RecordAnswer(c, a)
 	return a
 }
 
