Worker: an upstream that has left stays so if a heartbeat arrives before the record of the previous process

A node that restarts gets heartbeats before it has read the members when the store is slow. TestStatements failed before ("heartbeat first": the call was sent to the upstream) and passes; it also holds that a sender's notice counts only for the same start.

--- a/worker/statement.go
+++ b/worker/statement.go
@@ -7,16 +7,16 @@
 	if info.UpstreamReplaced {
 		return
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if info.Leaving {
 		w.leave(i)
 	}
 	w.recordRate(i, info)
 }
 
-// leave stops new calls to the upstream for good: heartbeats from before it said so may arrive later.
+// leave stops new calls to the upstream for good: heartbeats from before it said so may arrive later. mu must be locked.
 func (w *Worker) leave(i pomelo.Instance) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	if !w.state.isSameStart(i) || w.state.instance.Left {
 		return
 	}
@@ -29,13 +29,15 @@
 // adopt takes over what another node was told by this node's previous process. A limit counts until the upstream's first response.
 func (w *Worker) adopt(n pomelo.UpstreamNotice) {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	i := w.state.instance
-	isCurrent := w.state.known && n.IsAbout(i)
-	if isCurrent && !w.responded && !w.rate.Limited && n.Rate.Limited {
+	if !w.state.known || !n.IsAbout(i) {
+		return
+	}
+	if !w.responded && !w.rate.Limited && n.Rate.Limited {
 		w.setRate(i, n.Rate)
 	}
-	w.mu.Unlock()
-	if isCurrent && n.Left {
+	if n.Left {
 		w.leave(i)
 	}
 }
@@ -51,9 +53,8 @@
 	return &pomelo.UpstreamNotice{UpstreamID: i.ID, StartedAt: i.StartedAt, Rate: w.rate, Left: i.Left}
 }
 
+// recordRate takes over the limit that a response states; mu must be locked.
 func (w *Worker) recordRate(i pomelo.Instance, info pomelo.ResponseInfo) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	if !w.state.isSameStart(i) {
 		return
 	}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -84,11 +84,14 @@
 	w.onChange(i, !i.Draining)
 }
 
-// Resume restores the upstream that the node's previous process knew, unless a heartbeat has arrived; later heartbeats replace it.
+// Resume restores the upstream that the node's previous process knew; if a heartbeat has arrived, only that the upstream has left. Later heartbeats replace it.
 func (w *Worker) Resume(i pomelo.Instance) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.state.known {
+		if i.Left {
+			w.leave(i)
+		}
 		return
 	}
 	w.state.replace(i)
