Inlet: a request that arrives on a connection which is being closed as idle is answered

What callers saw: a request on a kept connection, read by a node at the end of a planned stop, got no answer, and the connection stayed open until the process ended; the node did not wait for it. Cause: closing an idle connection marked it as if a reply had said that it was the last, and a request that had been read by then was dropped. Or the reader set its idle deadline after Close had ended the wait, and dropped the next request. Class: one flag for two states. Fix: what the caller has been told (hasLastReply) is apart from what is to happen (closing). A request that was read before any such reply is handled, and its reply is the last. The idle deadline is set under the lock and no longer takes back the end of the wait.

--- a/inlet/conn.go
+++ b/inlet/conn.go
@@ -40,8 +40,10 @@
 	requestStarted bool
 	mu             sync.Mutex
 	inFlight       int
-	// closing is set once no further request is accepted on the connection.
+	// closing is set once the connection is to be closed after the requests that have arrived.
 	closing bool
+	// hasLastReply is set once a reply says that it is the connection's last, so that the caller repeats later requests on another one.
+	hasLastReply bool
 }
 
 // pendingReply holds the place of one reply in the connection's order.
@@ -72,9 +74,9 @@
 	close(c.pipeline)
 }
 
-// readRequests reads and dispatches requests until the connection is closing or reading fails.
+// readRequests reads and dispatches requests until one of them is the connection's last or reading fails.
 func (c *conn) readRequests() {
-	for !c.isClosing() {
+	for !c.lastReplyKnown() {
 		r, body, err := c.readRequest()
 		if err != nil {
 			c.handleReadError(err)
@@ -86,6 +88,12 @@
 	c.discardInput()
 }
 
+func (c *conn) lastReplyKnown() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hasLastReply
+}
+
 func (c *conn) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -125,7 +133,7 @@
 // awaitRequest waits for the first byte of a request; the idle timeout does not apply while requests are in flight.
 func (c *conn) awaitRequest(l pomelo.TrafficLimits) error {
 	for {
-		_ = c.SetReadDeadline(time.Now().Add(l.IdleTimeout.Duration()))
+		c.setIdleDeadline(l.IdleTimeout)
 		_, err := c.reader.Peek(1)
 		if err != nil && c.input.timedOut && c.hasInFlight() {
 			continue
@@ -134,23 +142,32 @@
 	}
 }
 
+// setIdleDeadline bounds the wait for a request, unless closeIdle has ended it.
+func (c *conn) setIdleDeadline(d pomelo.Millis) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closing {
+		_ = c.SetReadDeadline(time.Now().Add(d.Duration()))
+	}
+}
+
 func (c *conn) hasInFlight() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.inFlight > 0
 }
 
-// dispatch runs the handler for a request; while the node drains, the request is the connection's last.
+// dispatch runs the handler for a request; while the node drains or the connection closes, the request is the connection's last.
 func (c *conn) dispatch(r *http.Request, body []byte) {
 	s := &pendingReply{reply: make(chan pomelo.Reply, 1), noBody: r.Method == http.MethodHead}
 	c.mu.Lock()
-	if c.closing {
-		// The previous reply carries "Connection: close", so the caller repeats this request on another connection.
+	if c.hasLastReply {
 		c.mu.Unlock()
 		return
 	}
 	c.inFlight++
-	c.closing = r.Close || c.server.draining.Load()
+	c.closing = c.closing || r.Close || c.server.draining.Load()
+	c.hasLastReply = c.closing
 	s.close = c.closing
 	c.mu.Unlock()
 	c.server.pending.Add(1)
@@ -200,6 +217,7 @@
 	c.mu.Lock()
 	c.inFlight++
 	c.closing = true
+	c.hasLastReply = true
 	c.mu.Unlock()
 	c.server.pending.Add(1)
 	h := http.Header{}
@@ -268,6 +286,7 @@
 		return false
 	}
 	c.closing = true
+	c.hasLastReply = true
 	return true
 }
 
