--- a/mesh/findings_test.go
+++ b/mesh/findings_test.go
@@ -98,6 +98,11 @@
 // restart ends the node's process without a stop, and starts another one on its VM.
 func (f *fleet) restart(m *member) {
 	m.node.Kill()
+	convey.So(f.start(m), convey.ShouldBeNil)
+}
+
+// start starts another process on the VM of a node that has ended.
+func (f *fleet) start(m *member) error {
 	host := mesh.Host{
 		Store:       platform.NewStore(m.settings.StoreURL, metric.New()),
 		Dialect:     platform.NewDialect(),
@@ -108,10 +113,15 @@
 	}
 	m.log = &membuf.Buffer{}
 	n, err := mesh.New(m.settings, host, mesh.WithOutput(m.log))
-	convey.So(err, convey.ShouldBeNil)
-	convey.So(n.Start(), convey.ShouldBeNil)
+	if err != nil {
+		return err
+	}
+	if err := n.Start(); err != nil {
+		return err
+	}
 	m.node = n
 	f.t.Cleanup(n.Kill)
+	return nil
 }
 
 func TestRestart(t *testing.T) {
--- a/mesh/path_test.go
+++ b/mesh/path_test.go
@@ -55,6 +55,8 @@
 	server     *httptest.Server
 	executions atomic.Int64
 	arrivals   arrivals
+	// onArrival is a func() that is called with each request, if it is set.
+	onArrival atomic.Value
 	// limit is the text of the stated limit, or empty.
 	limit   atomic.Value
 	leaving atomic.Bool
@@ -72,6 +74,9 @@
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	u.arrivals.add()
+	if f, ok := u.onArrival.Load().(func()); ok {
+		f()
+	}
 	if v, _ := u.limit.Load().(string); v != "" {
 		w.Header().Set("Server-Limit", v)
 	}
