--- a/mesh/statement_soak_test.go
+++ b/mesh/statement_soak_test.go
@@ -16,7 +16,7 @@
 
 var (
 	soakSeed  = flag.Uint64("soak.seed", 1, "first seed of the soak")
-	soakSeeds = flag.Int("soak.seeds", 1, "number of seeds of the soak")
+	soakSeeds = flag.Int("soak.seeds", 4, "number of seeds of the soak")
 )
 
 const (
