TestStatedLimit waits until the queue's sleep has begun before it advances the clock

Seen: 3 of 50 runs failed, in each of three series, with no start within 5 s. Cause, in the test: the queue sleeps in a goroutine of its own; if the manual clock was advanced before that sleep began, it was due 99 ms later than the test looked.

--- a/queue/pacer_test.go
+++ b/queue/pacer_test.go
@@ -39,6 +39,10 @@
 		convey.Convey("start a tenth of a second apart after the first two", func() {
 			for started := 3; started <= 10; started++ {
 				convey.So(reaches(started-1), convey.ShouldBeTrue)
+				// Advance wakes only sleeps that have begun.
+				for end := time.Now().Add(pollTimeout); time.Now().Before(end) && k.Sleepers() == 0; {
+					time.Sleep(time.Millisecond)
+				}
 				k.Advance(99)
 				convey.So(load(), convey.ShouldEqual, started-1)
 				k.Advance(1)
