--- a/mesh/crash_test.go
+++ b/mesh/crash_test.go
@@ -16,7 +16,7 @@
 	// crashPath is the path of the request that crashes the stand-in.
 	crashPath = "/a/crash"
 	// downTime is the time until a crashed stand-in starts again.
-	downTime = 400 * time.Millisecond
+	downTime = time.Second
 	// crashSettle is the time after the third crash from which few repeats may reach an upstream.
 	crashSettle = 3 * time.Second
 	// maxRepeats is the number of these repeats.
