Worker: a deregistration without a start is final as well

Cause, by reading and by the test: only a deregistration with a start outlived a later heartbeat. Fix: both kinds count until the upstream starts again. TestStatements failed before and passes.

--- a/worker/worker.go
+++ b/worker/worker.go
@@ -104,7 +104,7 @@
 	w.onChange(i, !i.Draining)
 }
 
-// Withdraw applies a deregistration of the upstream; startedAt is the start time of the upstream process, or 0 if unknown, and a later heartbeat of that start then takes the deregistration back.
+// Withdraw applies a deregistration of the upstream; startedAt is the start time of the upstream process, or 0 for the start known last. It counts until the upstream starts again, since heartbeats from before it may arrive later.
 func (w *Worker) Withdraw(id string, startedAt pomelo.Millis) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -113,10 +113,7 @@
 		w.log.Info("withdrawal_ignored", "upstream", id, "born", startedAt, "known", i.ID)
 		return
 	}
-	w.state.instance.Draining = true
-	if startedAt != 0 {
-		w.state.leave()
-	}
+	w.state.leave()
 	i = w.state.instance
 	w.log.Info("upstream_withdrawn", "upstream", id, "born", i.StartedAt, "left", i.Left)
 	w.onChange(i, false)
--- a/worker/worker_test.go
+++ b/worker/worker_test.go
@@ -51,6 +51,17 @@
 			convey.So(refusal(w, nil), convey.ShouldEqual, pomelo.KindNoUpstream)
 		}
 	})
+	convey.Convey("A heartbeat that arrives after a deregistration does not take it back, whether or not the deregistration names the start", t, func() {
+		for _, startedAt := range []pomelo.Millis{0, instance.StartedAt} {
+			w, _ := newWorker()
+			w.Announce(instance)
+			w.Withdraw(instance.ID, startedAt)
+			late := instance
+			late.Sequence++
+			w.Announce(late)
+			convey.So(refusal(w, nil), convey.ShouldEqual, pomelo.KindDraining)
+		}
+	})
 	convey.Convey("What a sender was told counts only for the same start of the upstream", t, func() {
 		told := func(startedAt pomelo.Millis) *pomelo.UpstreamNotice {
 			return &pomelo.UpstreamNotice{UpstreamID: "i-1", StartedAt: startedAt, Rate: pomelo.RateStatement{Limited: true, PerSecond: 2}, Left: true}
