--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,11 +1,11 @@
 #!/usr/bin/env bash
-# Runs both orders of events; exits with 1 if one of them broke the rule, 0 if it held in both, and 2 if they could not run.
+# Runs three orders of events; exits with 1 if one of them broke the rule, 0 if it held in all, and 2 if they could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/pomelo ] && [ -x target/review-standin ] || exit 2
 record=review/4/record.txt
 result=0
 : > "$record"
-for order in leave_before_kill leave_after_kill; do
+for order in leave_before_kill leave_after_kill leave_before_return; do
   target/review-standin "$order" "$record.part"
   code=$?
   printf -- '-- %s\n' "$order" >> "$record"
--- a/review/standin/lab.go
+++ b/review/standin/lab.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"time"
 
@@ -15,6 +17,9 @@
 // storeCaller is the name under which the store stand-in knows all nodes.
 const storeCaller = "nodes"
 
+// portsTried is the number of ports that freePort tries.
+const portsTried = 100
+
 // lab holds what one case runs: the store, the nodes, and the record of what happened.
 type lab struct {
 	names   names
@@ -81,16 +86,27 @@
 	return filepath.Join(l.dir, name)
 }
 
-// freePort returns a TCP and UDP port that is free on the address.
-func freePort(ip string) (int, error) {
-	t, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return 0, err
+// freePort returns the first TCP and UDP port from the given one on that is free on the address; the ports lie below those that the system gives to clients.
+func freePort(ip string, from int) (int, error) {
+	for port := from; port < from+portsTried; port++ {
+		address := net.JoinHostPort(ip, strconv.Itoa(port))
+		t, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		u, err := net.ListenPacket("udp", address)
+		_ = t.Close()
+		if err != nil {
+			continue
+		}
+		_ = u.Close()
+		return port, nil
 	}
-	defer func() { _ = t.Close() }()
-	return t.Addr().(*net.TCPAddr).Port, nil
+	return 0, errNoPort
 }
 
+var errNoPort = errors.New("no free port")
+
 // startPair starts the i-th node and the endpoint beside it.
 func (l *lab) startPair(i int, service, zone string, serve func(e *endpoint, c net.Conn)) (*endpoint, error) {
 	n, err := l.newNode(i, service, zone)
--- a/review/standin/left_upstream.go
+++ b/review/standin/left_upstream.go
@@ -20,6 +20,9 @@
 	leaveAfter    = 2200 * time.Millisecond
 	restartPause  = 500 * time.Millisecond
 	outageTime    = 3 * time.Second
+	leaveEarlier  = 1500 * time.Millisecond
+	copyAge       = 2500 * time.Millisecond
+	absence       = 700 * time.Millisecond
 	serveOn       = 12 * time.Second
 	stableTime    = 3 * time.Second
 	drainTime     = 2 * time.Second
@@ -49,15 +52,30 @@
 
 // leaveBeforeKill has one of two endpoints leave while the store is down; all nodes are killed and started again afterwards.
 func leaveBeforeKill(l *lab) (bool, error) {
-	return leaveInOutage(l, leaveBefore, true)
+	return leaveInOutage(l, outage{leaveAt: leaveBefore, killAt: killAt, killAll: true, time: outageTime})
+}
+
+// leaveBeforeReturn has the endpoint leave before the store returns from an older copy; its node is killed and started again meanwhile.
+func leaveBeforeReturn(l *lab) (bool, error) {
+	return leaveInOutage(l, outage{leaveAt: -leaveEarlier, killAt: 0, time: absence, copyAge: copyAge})
 }
 
 // leaveAfterKill has the endpoint leave right after its node was killed and started again while the store is down.
 func leaveAfterKill(l *lab) (bool, error) {
-	return leaveInOutage(l, leaveAfter, false)
+	return leaveInOutage(l, outage{leaveAt: leaveAfter, killAt: killAt, time: outageTime})
+}
+
+// outage is the time for which the store is down and what happens around it; its times count from the moment at which the store goes down.
+type outage struct {
+	leaveAt time.Duration
+	killAt  time.Duration
+	killAll bool
+	time    time.Duration
+	// copyAge is the age of the copy from which the store returns, or 0 if it loses nothing.
+	copyAge time.Duration
 }
 
-func leaveInOutage(l *lab, leaveAt time.Duration, killAll bool) (bool, error) {
+func leaveInOutage(l *lab, o outage) (bool, error) {
 	var endpoints []*endpoint
 	for i, zone := range []string{"sofia-a", "sofia-b"} {
 		e, err := l.startPair(i, "history", zone, reads)
@@ -69,57 +87,72 @@
 	if err := l.awaitAll(); err != nil {
 		return false, err
 	}
-	var sending sync.WaitGroup
-	end := time.Now().Add(calmBefore + leaveAt + serveOn)
+	left := endpoints[0]
+	var sending, troubling sync.WaitGroup
+	downAt := time.Now().Add(calmBefore)
+	leaveAt := downAt.Add(o.leaveAt)
+	end := leaveAt.Add(serveOn)
 	for _, n := range l.nodes {
 		t := l.newTraffic(n)
 		sending.Go(func() { t.run(end, readsPerS, http.MethodGet, "history.example", "/history/", orderTimeout) })
 	}
-	time.Sleep(calmBefore)
-	var restarting sync.WaitGroup
 	if l.trouble {
-		l.printf("the store is down")
-		l.store.SetFault(storeCaller, fake.Fault{Status: http.StatusServiceUnavailable})
-		time.AfterFunc(outageTime, func() {
-			l.store.SetFault(storeCaller, fake.Fault{})
-			l.printf("the store is back")
-		})
-		killed := l.nodes[:1]
-		if killAll {
-			killed = l.nodes
-		}
-		restarting.Add(len(killed))
-		time.AfterFunc(killAt, func() {
-			for _, n := range killed {
-				go func() {
-					defer restarting.Done()
-					n.kill()
-					if err := n.restart(restartPause); err != nil {
-						l.printf("%s: not started again: %v", n.Name, err)
-					}
-				}()
-			}
-		})
+		troubling.Go(func() { l.bringDown(downAt, o) })
+		troubling.Go(func() { l.killNodes(downAt.Add(o.killAt), o.killAll) })
 	}
-	time.Sleep(leaveAt)
-	left := endpoints[0]
+	time.Sleep(time.Until(leaveAt))
 	if !left.leave() {
 		return false, errors.New("the node did not acknowledge the deregistration")
 	}
 	acknowledgedAt := time.Now()
 	time.AfterFunc(serveOn, left.end)
 	sending.Wait()
-	restarting.Wait()
-	return l.judgeLeft(left, acknowledgedAt, outageTime-leaveAt), nil
-}
-
-// judgeLeft reports whether the endpoint that has left got requests later than allowed, from nodes that were in touch again.
-func (l *lab) judgeLeft(e *endpoint, acknowledgedAt time.Time, outageLeft time.Duration) bool {
+	troubling.Wait()
 	from := acknowledgedAt.Add(drainTime)
 	if l.trouble {
 		// The nodes are in touch once the store and their processes have been undisturbed for stableTime.
-		from = acknowledgedAt.Add(outageLeft + stableTime + judgingMargin)
+		from = downAt.Add(o.time + stableTime + judgingMargin)
 	}
+	return l.judgeLeft(left, acknowledgedAt, from), nil
+}
+
+// bringDown has the store away for the time of the outage, and return from a copy if it has an age.
+func (l *lab) bringDown(at time.Time, o outage) {
+	time.Sleep(time.Until(at.Add(-o.copyAge)))
+	saved := l.store.Backup()
+	time.Sleep(time.Until(at))
+	l.printf("the store is down")
+	l.store.SetFault(storeCaller, fake.Fault{Status: http.StatusServiceUnavailable})
+	time.Sleep(o.time)
+	if o.copyAge > 0 {
+		l.store.Restore(saved)
+		l.printf("the store returns from a copy that is %v old", o.copyAge+o.time)
+	}
+	l.store.SetFault(storeCaller, fake.Fault{})
+	l.printf("the store is back")
+}
+
+// killNodes kills the first node, or all of them, and starts them again.
+func (l *lab) killNodes(at time.Time, all bool) {
+	time.Sleep(time.Until(at))
+	killed := l.nodes[:1]
+	if all {
+		killed = l.nodes
+	}
+	var restarting sync.WaitGroup
+	for _, n := range killed {
+		restarting.Go(func() {
+			n.kill()
+			if err := n.restart(restartPause); err != nil {
+				l.printf("%s: not started again: %v", n.Name, err)
+			}
+		})
+	}
+	restarting.Wait()
+}
+
+// judgeLeft reports whether the endpoint that has left got requests later than allowed, from nodes that were in touch again.
+func (l *lab) judgeLeft(e *endpoint, acknowledgedAt, from time.Time) bool {
 	late := 0
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -26,11 +28,13 @@
 		return exitNotRun
 	}
 	cases := map[string]func(*lab) (bool, error){
-		"stale_rejection":   staleRejection,
-		"slow_reader":       slowReader,
-		"upload_burst":      uploadBurst,
-		"leave_before_kill": leaveBeforeKill,
-		"leave_after_kill":  leaveAfterKill,
+		"stale_rejection":     staleRejection,
+		"slow_reader":         slowReader,
+		"upload_burst":        uploadBurst,
+		"leave_before_kill":   leaveBeforeKill,
+		"leave_after_kill":    leaveAfterKill,
+		"leave_before_return": leaveBeforeReturn,
+		"rolled_limit":        rolledLimit,
 	}
 	f, ok := cases[os.Args[1]]
 	if !ok {
@@ -43,6 +47,7 @@
 		return exitNotRun
 	}
 	defer l.close()
+	l.endOnSignal()
 	broken, err := f(l)
 	switch {
 	case err != nil:
@@ -55,3 +60,14 @@
 	l.printf("the rule held")
 	return exitHeld
 }
+
+// endOnSignal ends all processes of the case when this one is told to stop.
+func (l *lab) endOnSignal() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-stop
+		l.close()
+		os.Exit(exitNotRun)
+	}()
+}
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -15,8 +15,10 @@
 const (
 	// metricsPort is that of the deploy file; each node has an address of its own.
 	metricsPort = "9464"
-	pollPause   = 20 * time.Millisecond
-	readyWait   = 10 * time.Second
+	// firstPort is the first of the ports that a node listens on.
+	firstPort = 7000
+	pollPause = 20 * time.Millisecond
+	readyWait = 10 * time.Second
 )
 
 // node is one process of the system, with the settings that the platform gives it.
@@ -50,12 +52,14 @@
 		Store:      l.address,
 		FirstStart: true,
 	}
-	for _, p := range []*int{&n.Inbound, &n.Outbound, &n.Ready, &n.Control, &n.Peer} {
-		port, err := freePort(n.IP)
+	next := firstPort
+	for _, p := range []*int{&n.Peer, &n.Inbound, &n.Outbound, &n.Ready, &n.Control} {
+		port, err := freePort(n.IP, next)
 		if err != nil {
 			return nil, err
 		}
 		*p = port
+		next = port + 1
 	}
 	l.nodes = append(l.nodes, n)
 	return n, nil
--- a/review/standin/stale_rejection.go
+++ b/review/standin/stale_rejection.go
@@ -14,9 +14,9 @@
 	shedShare     = 0.3
 	repeatedShare = 0.03
 	orderWork     = 60 * time.Millisecond
-	ordersPerS    = 40
+	ordersPerS    = 60
 	orderTimeout  = 5 * time.Second
-	shopTime      = 60 * time.Second
+	shopTime      = 90 * time.Second
 )
 
 // shop returns the behaviour of an endpoint that rejects part of the requests, and repeats part of its answers late, at the point where the next one is expected.
