--- a/review/standin/lab.go
+++ b/review/standin/lab.go
@@ -53,7 +53,9 @@
 
 func (l *lab) startStore() error {
 	l.store = fake.New()
-	l.store.Put(l.names.PolicyKey, policyDocument)
+	if err := l.setCap(wideCap); err != nil {
+		return err
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
--- a/review/standin/names.go
+++ b/review/standin/names.go
@@ -10,8 +10,8 @@
 var (
 	//go:embed names.json
 	namesDocument []byte
-	//go:embed policy.json
-	policyDocument []byte
+	//go:embed policy.tmpl
+	policyText string
 	//go:embed settings.tmpl
 	settingsText string
 	//go:embed heartbeat.tmpl
@@ -49,3 +49,22 @@
 	err = t.Execute(&b, data)
 	return b.Bytes(), err
 }
+
+// usageCap is the limit of the only tenant, in requests a second, and its burst.
+type usageCap struct {
+	Rate  int
+	Burst int
+}
+
+// wideCap does not limit the traffic of the cases.
+var wideCap = usageCap{Rate: 480, Burst: 480}
+
+// setCap writes the policy with the tenant's limit, as the operator does.
+func (l *lab) setCap(c usageCap) error {
+	document, err := fill(policyText, c)
+	if err != nil {
+		return err
+	}
+	l.store.Put(l.names.PolicyKey, document)
+	return nil
+}
--- a/review/standin/rolled_limit.go
+++ b/review/standin/rolled_limit.go
@@ -1,9 +1,6 @@
 package main
 
 import (
-	"bytes"
-	"errors"
-	"fmt"
 	"net/http"
 	"slices"
 	"sync"
@@ -28,12 +25,9 @@
 
 // rolledLimit has one tenant send several times its limit while three of eight machines are stopped and started in turn.
 func rolledLimit(l *lab) (bool, error) {
-	limits := fmt.Appendf(nil, `"rate_per_s":%d,"burst":%d`, tenantRate, tenantBurst)
-	document := bytes.Replace(policyDocument, []byte(`"rate_per_s":480,"burst":480`), limits, 1)
-	if bytes.Equal(document, policyDocument) {
-		return false, errors.New("the policy has no limit to replace")
+	if err := l.setCap(usageCap{Rate: tenantRate, Burst: tenantBurst}); err != nil {
+		return false, err
 	}
-	l.store.Put(l.names.PolicyKey, document)
 	zones := []string{"sofia-a", "sofia-b", "sofia-c"}
 	var endpoints []*endpoint
 	for i := range limitNodes {
