--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -56,6 +56,13 @@
 	}
 }
 
+// isReady reports whether the platform lets clients send to the node.
+func (t *traffic) isReady() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ready
+}
+
 // run sends requests until the end, and returns once all are answered.
 func (t *traffic) run(end time.Time, perSecond int, method, host, path string, timeout time.Duration) {
 	go t.watchReadiness(end)
