--- a/uplink/client.go
+++ b/uplink/client.go
@@ -74,7 +74,7 @@
 	if ctx.Err() != nil {
 		return pomelo.Refuse(c.ID, contextFault(ctx, pomelo.RanNo))
 	}
-	conn, err := cl.connect(ctx, u)
+	conn, err := cl.connect(ctx, u, c.ID)
 	if err != nil {
 		return pomelo.Refuse(c.ID, unreachableFault(ctx, err))
 	}
@@ -100,11 +100,11 @@
 
 // Close closes the idle connections.
 func (cl *Client) Close() {
-	cl.pool.get("", 0)
+	cl.pool.get("", 0, "")
 }
 
-func (cl *Client) connect(ctx context.Context, u pomelo.Instance) (*conn, error) {
-	if idle := cl.pool.get(u.Address, cl.clock.Now()); idle != nil {
+func (cl *Client) connect(ctx context.Context, u pomelo.Instance, id string) (*conn, error) {
+	if idle := cl.pool.get(u.Address, cl.clock.Now(), id); idle != nil {
 		return idle, nil
 	}
 	return cl.dial(ctx, u)
@@ -144,7 +144,7 @@
 	e.client.onResponse(e.upstream, info)
 	body, err := e.client.budget.ReadAll(resp.Body)
 	if info.NotRun {
-		return pomelo.Refuse(e.call.ID, notRunFault(info)), err == nil && e.isReusable(resp)
+		return pomelo.Refuse(e.call.ID, notRunFault(info)), err == nil && e.isReusable(resp) && e.conn.recordRejection(e.call.ID, e.call.Deadline, e.client.clock.Now())
 	}
 	if err != nil {
 		return pomelo.Refuse(e.call.ID, incompleteFault(ctx, err)), false
--- a/uplink/conn.go
+++ b/uplink/conn.go
@@ -2,13 +2,18 @@
 
 import (
 	"bufio"
+	"maps"
 	"net"
 	"syscall"
 
 	"github.com/pomeloworks/pomelo"
 )
 
-const bufferBytes = 4 << 10
+const (
+	bufferBytes = 4 << 10
+	// maxRejected limits the rejected calls that a connection remembers.
+	maxRejected = 64
+)
 
 // conn is one persistent connection; it carries one call at a time.
 type conn struct {
@@ -17,6 +22,8 @@
 	reader *bufio.Reader
 	// reusableUntil is the time from which the upstream may close the connection as idle.
 	reusableUntil pomelo.Millis
+	// rejected holds the deadlines of the calls that the upstream has rejected on this connection, by their ids.
+	rejected map[string]pomelo.Millis
 }
 
 func newConn(c net.Conn) *conn {
@@ -24,6 +31,27 @@
 	return &conn{Conn: c, input: l, reader: bufio.NewReaderSize(l, bufferBytes)}
 }
 
+// recordRejection notes a call that must not be sent again on this connection, and reports whether there was room for it: calls that are past their deadline give way.
+func (c *conn) recordRejection(id string, deadline, now pomelo.Millis) bool {
+	if c.rejected == nil {
+		c.rejected = map[string]pomelo.Millis{}
+	}
+	if len(c.rejected) >= maxRejected {
+		maps.DeleteFunc(c.rejected, func(_ string, d pomelo.Millis) bool { return d <= now })
+	}
+	if len(c.rejected) >= maxRejected {
+		return false
+	}
+	c.rejected[id] = deadline
+	return true
+}
+
+// hasRejected reports whether the upstream has rejected the call on this connection, so that it may repeat that rejection.
+func (c *conn) hasRejected(id string) bool {
+	_, ok := c.rejected[id]
+	return ok
+}
+
 // hasNoInput reports whether nothing has arrived since the last response, neither bytes nor the connection's end.
 func (c *conn) hasNoInput() bool {
 	if c.reader.Buffered() > 0 {
--- a/uplink/pool.go
+++ b/uplink/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 
 	"github.com/pomeloworks/pomelo"
@@ -18,14 +19,17 @@
 	idle    []*conn
 }
 
-// get returns an idle connection that is still usable, or nil.
-func (p *pool) get(address string, now pomelo.Millis) *conn {
+// get returns an idle connection that is still usable and on which the upstream has not rejected the call, or nil. A rejection that the upstream repeats late bears the call's id, and could be taken for the response to its next attempt.
+func (p *pool) get(address string, now pomelo.Millis, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.setAddress(address)
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if c.hasRejected(id) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
 		if now < c.reusableUntil && c.hasNoInput() {
 			return c
 		}
