--- a/host_settings.go
+++ b/host_settings.go
@@ -20,6 +20,8 @@
 	StoreURL       string
 	// MinLeaseTTL is the shortest lease that the store grants.
 	MinLeaseTTL Millis
+	// HeartbeatInterval is the approximate time between two heartbeats of an upstream; 0 if the platform states none.
+	HeartbeatInterval Millis
 	// KeyMaxAge is the longest time that a withdrawn key may still be accepted.
 	KeyMaxAge Millis
 	// DrainGrace is the time from a stop request until the process is killed.
--- a/mesh/components.go
+++ b/mesh/components.go
@@ -56,6 +56,8 @@
 	headBytes = 256 << 10
 	// bodyMemoryDivisor is the part of the VM's memory that bodies being read may use: they are held once more while they are sent on.
 	bodyMemoryDivisor = 8
+	// resumeIntervals is the number of heartbeat intervals after the start of the process for which an upstream that has sent no heartbeat is used: its first one may be late by half an interval.
+	resumeIntervals = 1.5
 	// minBodyMemory is the memory for bodies, in bytes, on a VM that states no or very little memory.
 	minBodyMemory = 8 << 20
 )
@@ -222,7 +224,14 @@
 			x.SetDraining(!serving || n.stopping.Load())
 		})
 	}
-	opts := []func(*worker.Worker){worker.WithServices(policyServices{source: v}.Service)}
+	interval := n.settings.HeartbeatInterval
+	if interval == 0 {
+		interval = defaultHeartbeatInterval
+	}
+	opts := []func(*worker.Worker){
+		worker.WithServices(policyServices{source: v}.Service),
+		worker.WithResumeTime(pomelo.Millis(resumeIntervals * float64(interval))),
+	}
 	if n.appliesEvacuations() {
 		opts = append(opts, worker.WithEvacuations(v, n.settings.AvailabilityZone, v.Listed(), q))
 	}
--- a/mesh/findings_test.go
+++ b/mesh/findings_test.go
@@ -98,6 +98,8 @@
 // restart ends the node's process without a stop, and starts another one on its VM.
 func (f *fleet) restart(m *member) {
 	m.node.Kill()
+	// Kill leaves a connection open whose last reply is just being written, and the death of a process does not.
+	http.DefaultClient.CloseIdleConnections()
 	convey.So(f.start(m), convey.ShouldBeNil)
 }
 
--- a/mesh/limit_restart_test.go
+++ b/mesh/limit_restart_test.go
@@ -20,6 +20,8 @@
 		others.sendSteadily("before", 30, limitSettle)
 		a.upstream.delay.Store(int64(1500 * time.Millisecond))
 		f.restart(a)
+		// Without a heartbeat the upstream would get no more calls after a while.
+		time.AfterFunc(limitWindow/4, func() { a.heartbeat("ready", 1_000) })
 		others.sendSteadily("after", 60, limitWindow)
 		allowed := int(limitFactor*limit*limitWindow.Seconds()) + limitSlack
 		convey.So(a.upstream.arrivals.most(statedAt.Add(limitSettle), time.Now(), limitWindow), convey.ShouldBeLessThanOrEqualTo, allowed)
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -30,6 +30,8 @@
 	stopPoll   = pomelo.Millis(20)
 	// ownershipPoll is the interval between checks whether this process is the sole owner of its resources.
 	ownershipPoll = pomelo.Millis(500)
+	// defaultHeartbeatInterval is the interval of heartbeats where the platform states none.
+	defaultHeartbeatInterval = pomelo.Millis(1_500)
 	// loadLogInterval is the interval between log lines about waiting calls.
 	loadLogInterval = pomelo.Millis(1_000)
 )
@@ -110,10 +112,16 @@
 // resume restores the upstream from the record of this VM's previous process.
 func (n *Node) resume() {
 	self := n.components.Beacon.Member()
+	epoch := n.components.View.MembersPosition().Epoch
 	for _, m := range n.components.View.Current() {
 		if m.VM != self.VM || m.Incarnation == self.Incarnation || m.UpstreamID == "" {
 			continue
 		}
+		if m.Epoch < epoch && !m.UpstreamLeft {
+			// The store may have lost a later record, which said that the upstream has left.
+			n.components.Log.Info("upstream_not_resumed", "upstream", m.UpstreamID, "service", m.Service, "born", m.UpstreamStartedAt, "reason", "the record is of an earlier epoch of the store", "record_epoch", m.Epoch, "epoch", epoch)
+			continue
+		}
 		if m.SoleOwner {
 			n.components.Beacon.UpdateMember(func(x *pomelo.Member) {
 				x.SoleOwner = !x.Draining
--- a/worker/state.go
+++ b/worker/state.go
@@ -6,14 +6,28 @@
 type state struct {
 	instance pomelo.Instance
 	known    bool
+	// unconfirmed marks an upstream that is known from the record of the previous process only.
+	unconfirmed bool
+	withdrawals withdrawals
 }
 
 // replace takes over a heartbeat; an upstream that has left stays so until it starts again.
 func (s *state) replace(i pomelo.Instance) {
-	i.Left = s.instance.Left && s.isSameStart(i)
+	i.Left = s.instance.Left && s.isSameStart(i) || s.withdrawals.include(i)
 	i.Draining = i.Draining || i.Left
 	s.instance = i
 	s.known = true
+	s.unconfirmed = false
+}
+
+// resume takes over the upstream of the previous process's record.
+func (s *state) resume(i pomelo.Instance) {
+	left := i.Left
+	s.replace(i)
+	if left {
+		s.leave()
+	}
+	s.unconfirmed = !s.instance.Left
 }
 
 // leave marks the upstream as having left.
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -12,6 +12,9 @@
 	"github.com/pomeloworks/pomelo/warmup"
 )
 
+// defaultResumeTime is the time after the start of the process, in milliseconds, for which a resumed upstream is used without a heartbeat.
+const defaultResumeTime = pomelo.Millis(2_250)
+
 // drainRetryAfter is the RetryAfter of calls refused while the upstream drains: the time until a caller may find another one.
 const drainRetryAfter = pomelo.Millis(200)
 
@@ -30,6 +33,9 @@
 	// evacuation is set by WithEvacuations.
 	evacuation evacuation
 
+	// resumeUntil is the time, by the clock, until which a resumed upstream is used without a heartbeat.
+	resumeUntil pomelo.Millis
+
 	mu      sync.Mutex
 	state   state
 	rate    pomelo.RateStatement
@@ -62,6 +68,7 @@
 		tracker:  warmup.New(),
 		running:  map[string]*runningCall{},
 	}
+	w.resumeUntil = clock.Now() + defaultResumeTime
 	for _, o := range opts {
 		o(w)
 	}
@@ -70,6 +77,11 @@
 	return w
 }
 
+// WithResumeTime sets the time from now, in milliseconds, for which a resumed upstream is used without a heartbeat.
+func WithResumeTime(d pomelo.Millis) func(*Worker) {
+	return func(w *Worker) { w.resumeUntil = w.clock.Now() + d }
+}
+
 // Announce applies a heartbeat of the upstream; late and repeated heartbeats are ignored.
 func (w *Worker) Announce(i pomelo.Instance) {
 	w.mu.Lock()
@@ -98,7 +110,7 @@
 	w.onChange(i, !i.Draining)
 }
 
-// Resume restores the upstream that the node's previous process knew; if a heartbeat has arrived, only that the upstream has left. Later heartbeats replace it.
+// Resume restores the upstream that the node's previous process knew; if a heartbeat has arrived, only that the upstream has left. Later heartbeats replace it; without one it is used until the resume time has passed, since the record may lack that it has left.
 func (w *Worker) Resume(i pomelo.Instance) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -108,10 +120,11 @@
 		}
 		return
 	}
-	w.state.replace(i)
-	if i.Left {
-		w.state.leave()
+	if !i.Left && w.isResumeOver() {
+		w.log.Info("upstream_not_resumed", "upstream", i.ID, "service", i.Service, "born", i.StartedAt, "reason", "no heartbeat since the start of the process")
+		return
 	}
+	w.state.resume(i)
 	i = w.state.instance
 	w.tracker.Resumed(w.clock.Now(), i)
 	w.applyWarmup()
@@ -120,13 +133,37 @@
 	w.onChange(i, !i.Draining)
 }
 
+func (w *Worker) isResumeOver() bool {
+	return w.clock.Now() >= w.resumeUntil
+}
+
+// endResume stops calls to a resumed upstream that has sent no heartbeat in time; mu must be locked.
+func (w *Worker) endResume() {
+	if !w.state.unconfirmed || !w.isResumeOver() {
+		return
+	}
+	w.state.unconfirmed = false
+	w.state.instance.Draining = true
+	i := w.state.instance
+	w.log.Warn("upstream_unconfirmed", "upstream", i.ID, "service", i.Service, "born", i.StartedAt, "remedy", "send heartbeats to this node, or deregister the upstream")
+	w.onChange(i, false)
+}
+
 // Withdraw applies a deregistration of the upstream; startedAt is the start time of the upstream process, or 0 for the start known last. It counts until the upstream starts again, since heartbeats from before it may arrive later.
 func (w *Worker) Withdraw(id string, startedAt pomelo.Millis) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	i := w.state.instance
-	if !w.state.known || i.ID != id || startedAt != 0 && startedAt < i.StartedAt {
-		w.log.Info("withdrawal_ignored", "upstream", id, "born", startedAt, "known", i.ID)
+	if w.state.known && i.ID == id && startedAt != 0 && startedAt < i.StartedAt {
+		w.log.Info("withdrawal_ignored", "upstream", id, "born", startedAt, "known_born", i.StartedAt)
+		return
+	}
+	if !w.state.known || i.ID != id || startedAt > i.StartedAt {
+		// Its record or a late heartbeat may still be read.
+		w.log.Info("withdrawal_kept", "upstream", id, "born", startedAt, "known", i.ID)
+		w.state.withdrawals.add(id, startedAt)
+	}
+	if !w.state.known || i.ID != id {
 		return
 	}
 	w.state.leave()
@@ -259,6 +296,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.endResume()
 	i := w.state.instance
 	if !w.state.known || i.Service != service {
 		return i, pomelo.NewFault(pomelo.KindNoUpstream, "no upstream of service "+service+" is beside this node", "send the request to another upstream")
