Odd entries: records and heartbeats with values that can't be used are refused

Operators of other systems saw nodes end, or stop following the list, over one odd entry of another writer. Here none did. But a record with a port out of range, without an address or with slots of 2^63 - 1 became a member, to which calls were sent and which could own resources; such a heartbeat replaced the upstream beside the node and was acknowledged; and a node whose own record was overwritten stayed unknown to nodes that started later.

Cause: decoding checked the types of fields and not their values, and no node looked whether its record was still its own.

Addresses, ports, slots and starts are checked where records and heartbeats are decoded, a heartbeat's service is compared with the node's, and a node whose record names no member gives up its resources and writes it again.

Members in the tests of view have an address now, as every record of a node has.

--- a/beacon/announcer.go
+++ b/beacon/announcer.go
@@ -44,6 +44,8 @@
 	renewedAt pomelo.Millis
 	tenure    tenure.Tenure
 
+	// overwritten is set once another writer has replaced the record by one that names no member.
+	overwritten atomic.Bool
 	// leaseExpiresAt is the earliest time, by the monotonic clock, at which the lease may expire.
 	leaseExpiresAt atomic.Int64
 }
@@ -141,6 +143,10 @@
 	if err := a.ensureLease(ctx); err != nil {
 		return err
 	}
+	if a.overwritten.Swap(false) {
+		// A process that has read the list meanwhile lacks this member, and may own its resources.
+		a.resign("record_overwritten")
+	}
 	m := a.Member()
 	if a.isWritten && m == a.written {
 		return nil
@@ -174,6 +180,15 @@
 	return epoch
 }
 
+// RecordOverwritten has the record written again soon because another writer has replaced it by one that names no member.
+func (a *Announcer) RecordOverwritten() {
+	a.overwritten.Store(true)
+	select {
+	case a.changed <- struct{}{}:
+	default:
+	}
+}
+
 // StoreReturned has the record written again soon because the store has a new epoch.
 func (a *Announcer) StoreReturned() {
 	select {
--- a/cmd/pomelo/cmd_sidecar.go
+++ b/cmd/pomelo/cmd_sidecar.go
@@ -73,8 +73,8 @@
 		PolicyKey:        platform.KeyPolicy,
 		EvacuationPrefix: platform.PrefixEvacuation,
 		ParsePolicy:      platform.ParsePolicy,
-		Control: func(a mesh.Announcer, log pomelo.Logger) http.Handler {
-			return platform.Control(a, log)
+		Control: func(a mesh.Announcer, service string, log pomelo.Logger) http.Handler {
+			return platform.Control(a, service, log)
 		},
 		Ready: platform.Ready,
 	}
--- a/member.go
+++ b/member.go
@@ -1,5 +1,7 @@
 package pomelo
 
+import "strconv"
+
 // Member is one node as described by its membership record; Connections and Slots are those that its upstream announced.
 type Member struct {
 	VM               string `json:"vm"`
@@ -28,6 +30,25 @@
 	Epoch int64 `json:"epoch,omitempty"`
 }
 
+// Check returns a *Fault of KindBadRequest if the record names no member to use, as one of another writer may.
+func (m Member) Check() error {
+	switch {
+	case !IsAddress(m.Address):
+		return badMember("its address " + strconv.Quote(m.Address) + " is no host and port")
+	case m.UpstreamAddress != "" && !IsAddress(m.UpstreamAddress):
+		return badMember("its upstream's address " + strconv.Quote(m.UpstreamAddress) + " is no host and port")
+	case m.Slots < 0 || m.Slots > MaxSlots:
+		return badMember("its slots are " + strconv.Itoa(m.Slots))
+	case m.UpstreamStartedAt < 0 || m.UpstreamStartedAt > MaxStartTime:
+		return badMember("its upstream started at " + strconv.FormatInt(int64(m.UpstreamStartedAt), 10))
+	}
+	return nil
+}
+
+func badMember(message string) error {
+	return NewFault(KindBadRequest, message, "remove the record if no node of this system wrote it")
+}
+
 // SetDraining marks the member as draining or no longer so; a member that starts draining resigns.
 func (m *Member) SetDraining(draining bool) {
 	if draining && !m.Draining {
--- a/member/registry.go
+++ b/member/registry.go
@@ -142,7 +142,11 @@
 		return
 	}
 	var m pomelo.Member
-	if err := json.Unmarshal(record.Value, &m); err != nil {
+	err := json.Unmarshal(record.Value, &m)
+	if err == nil {
+		err = m.Check()
+	}
+	if err != nil {
 		r.log.Warn("member_record_unreadable", "key", record.Key, "error", err.Error())
 		return
 	}
--- a/mesh/findings_test.go
+++ b/mesh/findings_test.go
@@ -111,8 +111,10 @@
 		PolicyKey:        platform.KeyPolicy,
 		EvacuationPrefix: platform.PrefixEvacuation,
 		ParsePolicy:      platform.ParsePolicy,
-		Control:          func(a mesh.Announcer, log pomelo.Logger) http.Handler { return platform.Control(a, log) },
-		Ready:            platform.Ready,
+		Control: func(a mesh.Announcer, service string, log pomelo.Logger) http.Handler {
+			return platform.Control(a, service, log)
+		},
+		Ready: platform.Ready,
 	}
 	m.log = &membuf.Buffer{}
 	n, err := mesh.New(m.settings, host, mesh.WithOutput(m.log))
--- a/mesh/host.go
+++ b/mesh/host.go
@@ -15,8 +15,8 @@
 	EvacuationPrefix string
 	// ParsePolicy decodes the record under PolicyKey.
 	ParsePolicy func([]byte) (pomelo.PolicySpec, error)
-	// Control returns the handler of the heartbeats and the withdrawal of the node's own upstream.
-	Control func(a Announcer, log pomelo.Logger) http.Handler
+	// Control returns the handler of the heartbeats and the withdrawal of the node's own upstream, which is of this service.
+	Control func(a Announcer, service string, log pomelo.Logger) http.Handler
 	// Ready returns the handler of readiness probes.
 	Ready func(ready func() bool) http.Handler
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -145,7 +145,7 @@
 	if err := n.components.Listen.Start(s.PeerAddress); err != nil {
 		return err
 	}
-	if err := n.serve(s.ControlAddress, n.host.Control(n.components.Worker, n.components.Log)); err != nil {
+	if err := n.serve(s.ControlAddress, n.host.Control(n.components.Worker, s.Service, n.components.Log)); err != nil {
 		return err
 	}
 	if err := n.serve(s.ReadyAddress, n.host.Ready(n.Ready)); err != nil {
--- a/mesh/path_test.go
+++ b/mesh/path_test.go
@@ -205,8 +205,10 @@
 		PolicyKey:        platform.KeyPolicy,
 		EvacuationPrefix: platform.PrefixEvacuation,
 		ParsePolicy:      platform.ParsePolicy,
-		Control:          func(a mesh.Announcer, log pomelo.Logger) http.Handler { return platform.Control(a, log) },
-		Ready:            platform.Ready,
+		Control: func(a mesh.Announcer, service string, log pomelo.Logger) http.Handler {
+			return platform.Control(a, service, log)
+		},
+		Ready: platform.Ready,
 	}
 	m := &member{settings: settings, upstream: u, log: &membuf.Buffer{}, metrics: metrics}
 	n, err := mesh.New(settings, host, append(f.options, mesh.WithOutput(m.log), mesh.WithMetrics(metrics))...)
--- a/view/decode.go
+++ b/view/decode.go
@@ -4,30 +4,43 @@
 	"encoding/json"
 	"strings"
 
+	"github.com/cockroachdb/errors"
 	"github.com/pomeloworks/pomelo"
 )
 
-func decodeAll(records []pomelo.Record, log pomelo.Logger) []pomelo.MemberRecord {
+func (v *View) decodeAll(records []pomelo.Record) []pomelo.MemberRecord {
 	var out []pomelo.MemberRecord
 	for _, r := range records {
-		if c, ok := decode(r, log); ok {
+		if c, ok := v.decode(r); ok {
 			out = append(out, c)
 		}
 	}
 	return out
 }
 
-// decode returns the change of a member that the record describes; false if the record can't be read.
-func decode(r pomelo.Record, log pomelo.Logger) (pomelo.MemberRecord, bool) {
+// decode returns the change of a member that the record describes; false if it describes none.
+func (v *View) decode(r pomelo.Record) (pomelo.MemberRecord, bool) {
 	c := pomelo.MemberRecord{Revision: r.Revision, Deleted: r.Deleted}
+	vm := strings.TrimPrefix(r.Key, pomelo.PrefixMember)
 	if r.Deleted {
-		c.Member.VM = strings.TrimPrefix(r.Key, pomelo.PrefixMember)
+		c.Member.VM = vm
 		return c, true
 	}
 	err := json.Unmarshal(r.Value, &c.Member)
-	if err != nil || pomelo.PrefixMember+c.Member.VM != r.Key {
-		log.Warn("member_unreadable", "key", r.Key, "revision", r.Revision)
-		return c, false
+	if err == nil {
+		err = c.Member.Check()
 	}
-	return c, true
+	if err == nil && c.Member.VM != vm {
+		err = errors.Newf("it is of the VM %q", c.Member.VM)
+	}
+	if err == nil {
+		return c, true
+	}
+	v.log.Warn("member_unreadable", "key", r.Key, "revision", r.Revision, "error", err.Error())
+	if vm == v.self().VM {
+		for _, f := range v.onOverwritten {
+			f()
+		}
+	}
+	return c, false
 }
--- a/view/network_test.go
+++ b/view/network_test.go
@@ -136,7 +136,7 @@
 func (n *network) addSite(i int) {
 	server := httptest.NewServer(n.store.Handler(strconv.Itoa(i)))
 	n.t.Cleanup(server.Close)
-	s := &site{Store: platform.NewStore(server.URL, metric.New()), member: pomelo.Member{VM: fmt.Sprint("vm-", i)}, log: &membuf.Buffer{}}
+	s := &site{Store: platform.NewStore(server.URL, metric.New()), member: pomelo.Member{VM: fmt.Sprint("vm-", i), Address: "127.0.0.1:1"}, log: &membuf.Buffer{}}
 	s.outage = outage.New(outage.WithFleet())
 	self := func() pomelo.Member { return s.member }
 	s.view = view.New(s, clock.New(clock.WithMonotonic()), logs.New(s.log), "policy", parse, self,
@@ -184,7 +184,7 @@
 
 // visit lets a member come and go at once.
 func (n *network) visit(s *site) {
-	_ = s.Revoke(context.Background(), n.write(s, pomelo.Member{VM: "guest"}))
+	_ = s.Revoke(context.Background(), n.write(s, pomelo.Member{VM: "guest", Address: "127.0.0.1:1"}))
 }
 
 // hasSeenVisit reports whether the node has seen a member come and go.
--- a/view/view.go
+++ b/view/view.go
@@ -56,6 +56,7 @@
 	onStoreReturn  []func()
 	onDrop         []func()
 	onRecord       map[string]func(pomelo.Record)
+	onOverwritten  []func()
 	// evacuationPrefix is the prefix of the evacuations' records; empty if evacuations don't apply.
 	evacuationPrefix string
 	zones            *zones.Evacuations
@@ -142,6 +143,11 @@
 	v.onDrop = append(v.onDrop, f)
 }
 
+// OnOverwritten registers a function that is called when this node's own record in the store names no member; it must be called before Run.
+func (v *View) OnOverwritten(f func()) {
+	v.onOverwritten = append(v.onOverwritten, f)
+}
+
 // OnRecord registers a function that is called with each record under the prefix when it is listed or has changed, possibly more than once; it must be called before Run.
 func (v *View) OnRecord(prefix string, f func(pomelo.Record)) {
 	v.onRecord[prefix] = f
--- a/view/watch.go
+++ b/view/watch.go
@@ -42,7 +42,7 @@
 		return errors.Newf("the list is of the store's epoch %d, and %d has been seen", l.Epoch, v.proof.Epoch())
 	}
 	zoneChanges := v.replaceEvacuations(evacuations)
-	changed := v.census.Replace(decodeAll(l.Records, v.log), l.Position(), v.clock.Monotonic())
+	changed := v.census.Replace(v.decodeAll(l.Records), l.Position(), v.clock.Monotonic())
 	v.watchLag = lag{}
 	v.relay.reset(l.Position())
 	v.mu.Unlock()
@@ -181,7 +181,7 @@
 }
 
 func (v *View) applyMember(r pomelo.Record, now pomelo.Millis) bool {
-	c, ok := decode(r, v.log)
+	c, ok := v.decode(r)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return ok && v.census.Apply(c, now)
