uplink: a rejection without an id belongs only to a connection's first call

Operators of other systems saw a faulty upstream write an earlier refusal once more on a kept connection: callers were told "not run" for calls that ran (REFUSED), or these ran at a second upstream (TWICE).

Here the same happened if the refusal names no call: the dialect takes a response without an id for the call's if it states "not run", whichever call the connection carries.

Such a response now counts only as the first one of a connection; otherwise it is skipped and counted, and the call's own response is awaited. The connection is not reused after it.

Failed before: TestUnnamedRejection and TestUnnamedRejectionAfterStray, with "the upstream turned the call away" for calls that ran.

--- a/dialect.go
+++ b/dialect.go
@@ -32,6 +32,8 @@
 type ResponseInfo struct {
 	// Mismatched marks a response to another call.
 	Mismatched bool
+	// Unnamed marks a response that names no call; it belongs to one only where it can't be that of an earlier call.
+	Unnamed bool
 	// NotRun marks the upstream's statement that it did not run the call.
 	NotRun bool
 	// UpstreamReplaced marks a response of another upstream that now has the address.
--- a/uplink/client.go
+++ b/uplink/client.go
@@ -127,6 +127,8 @@
 	upstream   pomelo.Instance
 	sent       chan error
 	unexpected bool
+	// isFirst marks the first call of the connection.
+	isFirst bool
 }
 
 // run returns the answer, and whether the connection may be reused.
@@ -135,16 +137,17 @@
 	if err != nil {
 		return pomelo.Refuse(e.call.ID, pomelo.NewFault(pomelo.KindBadRequest, err.Error(), "send a valid method, path and headers")), false
 	}
+	e.isFirst = !e.conn.hasCarried
+	e.conn.hasCarried = true
 	e.send(head)
-	resp, err := e.readResponse()
+	resp, info, err := e.readResponse()
 	if err != nil {
 		return pomelo.Refuse(e.call.ID, incompleteFault(ctx, err)), false
 	}
-	info := e.client.dialect.DecodeResponse(e.call, resp.StatusCode, resp.Header)
 	e.client.onResponse(e.upstream, info)
 	body, err := e.client.budget.ReadAll(resp.Body)
 	if info.NotRun {
-		return pomelo.Refuse(e.call.ID, notRunFault(info)), err == nil && e.isReusable(resp) && e.conn.recordRejection(e.call.ID, e.call.Deadline, e.client.clock.Now())
+		return pomelo.Refuse(e.call.ID, notRunFault(info)), err == nil && !info.Unnamed && e.isReusable(resp) && e.conn.recordRejection(e.call.ID, e.call.Deadline, e.client.clock.Now())
 	}
 	if err != nil {
 		return pomelo.Refuse(e.call.ID, incompleteFault(ctx, err)), false
@@ -188,38 +191,48 @@
 }
 
 // readResponse skips interim responses and responses to other calls.
-func (e *exchange) readResponse() (*http.Response, error) {
+func (e *exchange) readResponse() (*http.Response, pomelo.ResponseInfo, error) {
 	r := &http.Request{Method: e.call.Method}
 	e.conn.input.remaining = maxHeadBytes
 	strayBytes := int64(maxStrayBytes)
 	for range maxResponses {
 		resp, err := http.ReadResponse(e.conn.reader, r)
 		if e.conn.input.exceeded {
-			return nil, errHeadTooLarge
+			return nil, pomelo.ResponseInfo{}, errHeadTooLarge
 		}
 		if err != nil {
-			return nil, err
+			return nil, pomelo.ResponseInfo{}, err
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
 		headBytes := e.conn.input.remaining
 		e.conn.input.remaining = unlimited
-		if !e.client.dialect.DecodeResponse(e.call, resp.StatusCode, resp.Header).Mismatched {
-			return resp, nil
+		info := e.client.dialect.DecodeResponse(e.call, resp.StatusCode, resp.Header)
+		if e.belongs(info) {
+			return resp, info, nil
 		}
 		e.unexpected = true
 		e.client.metrics.Count("uplink.stray_answers", 1)
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, strayBytes+1))
 		if err != nil {
-			return nil, err
+			return nil, info, err
 		}
 		if strayBytes -= n; strayBytes < 0 {
-			return nil, errors.New("the upstream's answers to other calls are too long")
+			return nil, info, errors.New("the upstream's answers to other calls are too long")
 		}
 		e.conn.input.remaining = headBytes
 	}
-	return nil, errors.New("the upstream answered only other calls")
+	return nil, pomelo.ResponseInfo{}, errors.New("the upstream answered only other calls")
+}
+
+// belongs reports whether the response is that of the call. One that names no call is so only if it is the connection's first, since it may repeat that of an earlier call.
+func (e *exchange) belongs(info pomelo.ResponseInfo) bool {
+	if info.Unnamed && !info.Mismatched && (!e.isFirst || e.unexpected) {
+		e.client.metrics.Count("uplink.unnamed_rejections", 1)
+		return false
+	}
+	return !info.Mismatched
 }
 
 func (e *exchange) requestHead() ([]byte, error) {
--- a/uplink/client_test.go
+++ b/uplink/client_test.go
@@ -37,7 +37,8 @@
 
 // DecodeResponse compares the response's id with that of the call.
 func (fakeDialect) DecodeResponse(c pomelo.Call, status int, h http.Header) pomelo.ResponseInfo {
-	return pomelo.ResponseInfo{Mismatched: h.Get("X-Id") != c.ID, NotRun: h.Get("X-Not-Run") != "", UpstreamReplaced: status == http.StatusMisdirectedRequest}
+	id, notRun := h.Get("X-Id"), h.Get("X-Not-Run") != ""
+	return pomelo.ResponseInfo{Mismatched: id != c.ID && (id != "" || !notRun), Unnamed: id == "", NotRun: notRun, UpstreamReplaced: status == http.StatusMisdirectedRequest}
 }
 
 // DecodeHealth takes each response with the id of the upstream as one of a warm upstream.
