--- a/mesh/cold_test.go
+++ b/mesh/cold_test.go
@@ -219,7 +219,10 @@
 			a.node.Kill()
 			begunAt := a.upstream.coldness.begin(coldTime)
 			convey.So(f.start(a), convey.ShouldBeNil)
+			// Without a heartbeat the upstream would get no more calls after a while.
+			heartbeat := time.AfterFunc(coldTime/2, func() { a.heartbeat("ready", 1_000) })
 			sent, served := f.sendSteadily("cold", 42, coldTime)
+			heartbeat.Stop()
 			most := a.upstream.mostWhileCold(begunAt)
 			t.Logf("%d arrivals in a second, %d health checks, %d of %d served", most, a.upstream.coldness.healthChecks.Load(), served, sent)
 			convey.So(most, convey.ShouldBeBetween, 0, maxColdArrivals+1)
--- a/uplink/client.go
+++ b/uplink/client.go
@@ -41,13 +41,15 @@
 	pool    pool
 	// onResponse is called with the head of each response that belongs to its call.
 	onResponse func(pomelo.Instance, pomelo.ResponseInfo)
+	// onSkipped is called with a call that waits on after a response that is not its own.
+	onSkipped func(pomelo.Call, int)
 	// onRefused is called when the upstream's address has refused a connection.
 	onRefused func(pomelo.Instance)
 }
 
 // New returns a client that connects on demand.
 func New(dialect pomelo.Dialect, clock pomelo.Clock, metrics pomelo.Metrics, opts ...func(*Client)) *Client {
-	cl := &Client{dialect: dialect, clock: clock, metrics: metrics, budget: budget.New(defaultBudgetBytes), onResponse: func(pomelo.Instance, pomelo.ResponseInfo) {}, onRefused: func(pomelo.Instance) {}}
+	cl := &Client{dialect: dialect, clock: clock, metrics: metrics, budget: budget.New(defaultBudgetBytes), onResponse: func(pomelo.Instance, pomelo.ResponseInfo) {}, onSkipped: func(pomelo.Call, int) {}, onRefused: func(pomelo.Instance) {}}
 	for _, o := range opts {
 		o(cl)
 	}
@@ -64,6 +66,11 @@
 	cl.onResponse = f
 }
 
+// OnSkipped sets the function that is called with a call and the status of a response on its connection that is not its own; it must be called before Do.
+func (cl *Client) OnSkipped(f func(pomelo.Call, int)) {
+	cl.onSkipped = f
+}
+
 // OnRefused sets the function that is called when the upstream's address has refused a connection; it must be called before Do.
 func (cl *Client) OnRefused(f func(pomelo.Instance)) {
 	cl.onRefused = f
@@ -214,6 +221,7 @@
 		}
 		e.unexpected = true
 		e.client.metrics.Count("uplink.stray_answers", 1)
+		e.client.onSkipped(e.call, resp.StatusCode)
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, strayBytes+1))
 		if err != nil {
 			return nil, info, err
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -73,6 +73,7 @@
 		o(w)
 	}
 	link.OnResponse(w.recordResponse)
+	link.OnSkipped(w.logSkipped)
 	link.OnRefused(w.recordRefused)
 	return w
 }
@@ -338,6 +339,11 @@
 	return pomelo.Refuse(c.ID, f)
 }
 
+// logSkipped tells why a call may wait until its deadline: the upstream sent a response that it may have written for another call.
+func (w *Worker) logSkipped(c pomelo.Call, status int) {
+	w.log.Info("response_skipped", "request", c.ID, "root", c.RootID, "service", c.Service, "status", status)
+}
+
 func (w *Worker) logFailure(c pomelo.Call, a pomelo.Answer, arrived, runTime pomelo.Millis) pomelo.Answer {
 	f := a.Refusal
 	w.metrics.Count("worker.failed."+string(f.Kind), 1)
