mesh: a planned stop ends though nobody reads the log

FlushWithin gives up after 0.2 s, which lie within the last 0.5 s of the grace period. The nodes of the tests can have an output of their own.

--- a/mesh/node.go
+++ b/mesh/node.go
@@ -32,6 +32,8 @@
 	ownershipPoll = pomelo.Millis(500)
 	// defaultHeartbeatInterval is the interval of heartbeats where the platform states none.
 	defaultHeartbeatInterval = pomelo.Millis(1_500)
+	// flushTimeout bounds the last write of the log, whose reader may stand still; it lies within exitMargin.
+	flushTimeout = pomelo.Millis(200)
 	// loadLogInterval is the interval between log lines about waiting calls.
 	loadLogInterval = pomelo.Millis(1_000)
 )
@@ -221,7 +223,7 @@
 	}
 	n.close()
 	n.components.Log.Info("node_stopped", "running", n.components.Worker.Running(), "pending", n.components.Inlet.Pending(), "took_ms", n.components.Clock.Monotonic()-startedAt)
-	n.components.Spool.Flush()
+	n.components.Spool.FlushWithin(flushTimeout)
 }
 
 // Kill closes all listeners and connections without draining, as the death of the process does.
--- a/mesh/path_test.go
+++ b/mesh/path_test.go
@@ -211,7 +211,7 @@
 		Ready: platform.Ready,
 	}
 	m := &member{settings: settings, upstream: u, log: &membuf.Buffer{}, metrics: metrics}
-	n, err := mesh.New(settings, host, append(f.options, mesh.WithOutput(m.log), mesh.WithMetrics(metrics))...)
+	n, err := mesh.New(settings, host, append([]func(*mesh.Node){mesh.WithOutput(m.log), mesh.WithMetrics(metrics)}, f.options...)...)
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/spool/spool.go
+++ b/spool/spool.go
@@ -104,6 +104,19 @@
 	}
 }
 
+// FlushWithin is Flush, and gives up after d milliseconds if the output takes nothing.
+func (s *Spool) FlushWithin(d pomelo.Millis) {
+	flushed := make(chan struct{})
+	go func() {
+		defer close(flushed)
+		s.Flush()
+	}()
+	select {
+	case <-flushed:
+	case <-time.After(d.Duration()):
+	}
+}
+
 func (s *Spool) takePending() []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
