--- a/inlet/conn.go
+++ b/inlet/conn.go
@@ -249,25 +249,32 @@
 func (c *conn) writeReplies() {
 	defer c.shutDown()
 	for s := range c.pipeline {
-		r, ok := c.awaitReply(s)
+		last, ok := c.reply(s)
+		// A stopping node waits for the end of the write, which a caller that reads slowly delays.
 		c.server.pending.Add(-1)
-		if !ok {
-			return
-		}
-		last := s.close || r.Close || c.server.draining.Load() && c.tryMarkClosing()
-		if err := c.writeReply(r, s.noBody, last); err != nil {
-			c.server.log.Info("answer_not_delivered", "status", r.Status, "error", err.Error())
-			return
-		}
-		c.mu.Lock()
-		c.inFlight--
-		c.mu.Unlock()
-		if last {
+		if !ok || last {
 			return
 		}
 	}
 }
 
+// reply awaits one reply and writes it; it returns whether the reply is the connection's last, and false if it was not delivered.
+func (c *conn) reply(s *pendingReply) (last, ok bool) {
+	r, ok := c.awaitReply(s)
+	if !ok {
+		return false, false
+	}
+	last = s.close || r.Close || c.server.draining.Load() && c.tryMarkClosing()
+	if err := c.writeReply(r, s.noBody, last); err != nil {
+		c.server.log.Info("answer_not_delivered", "status", r.Status, "error", err.Error())
+		return last, false
+	}
+	c.mu.Lock()
+	c.inFlight--
+	c.mu.Unlock()
+	return last, true
+}
+
 // awaitReply waits for the reply; it returns false once the caller has closed the connection.
 func (c *conn) awaitReply(s *pendingReply) (pomelo.Reply, bool) {
 	select {
--- a/inlet/server.go
+++ b/inlet/server.go
@@ -82,7 +82,7 @@
 	s.draining.Store(true)
 }
 
-// Pending returns the number of requests that have been read but not answered.
+// Pending returns the number of requests that have been read and whose replies have not been written.
 func (s *Server) Pending() int {
 	return int(s.pending.Load())
 }
