Log lines for the ways of a refusal that had none

Cause: of a request that was refused as not run, the logs could not tell a rejection by the upstream from one that it repeats, nor an attempt from the next one, nor a record's answer that is given again.

Change: call_rejected and response_skipped name the connection and how many calls it has carried; call_retried has each further attempt of a call that may run once, with the refusal before it; call_repeated and call_resolved have a record's answers at the serving node; call_refused also covers refusals on arrival; request_not_read has requests that were not read whole, with inlet.refused.STATUS; request_failed_upstream also has statuses that promise not run. No decision changes.

Result: the tests of the changed packages pass. The cost in processor time has not been measured yet.

--- a/fence/retention.go
+++ b/fence/retention.go
@@ -23,10 +23,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r.answer = a
-	r.ran = pomelo.RanYes
-	if a.Refusal != nil {
-		r.ran = a.Refusal.Ran
-	}
+	r.ran = ranOf(a)
 	close(r.done)
 	if r.idempotent {
 		delete(t.records, r.id)
--- a/fence/table.go
+++ b/fence/table.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/logs"
 )
 
 // Limits of the records. recordOverheadBytes is the estimated memory of a record without its answer; when the record limit is exceeded, the table removes a further 1/removalBatchDivisor of the limit.
@@ -25,6 +27,7 @@
 type Table struct {
 	clock          pomelo.Clock
 	next           pomelo.Handler
+	log            pomelo.Logger
 	maxFinished    int
 	maxFenced      int
 	maxAnswerBytes int
@@ -47,6 +50,7 @@
 	t := &Table{
 		clock:           clock,
 		next:            next,
+		log:             logs.New(io.Discard),
 		maxFinished:     defaultMaxFinished,
 		maxFenced:       defaultMaxFenced,
 		maxAnswerBytes:  defaultMaxAnswerBytes,
@@ -68,6 +72,11 @@
 	}
 }
 
+// WithLog logs the calls that a record answers again and the calls in doubt that are asked for.
+func WithLog(log pomelo.Logger) func(*Table) {
+	return func(t *Table) { t.log = log }
+}
+
 // Run calls Sweep once per sweep interval until the context ends.
 func (t *Table) Run(ctx context.Context) {
 	for t.clock.Sleep(ctx, sweepInterval) == nil {
@@ -79,7 +88,9 @@
 func (t *Table) Handle(ctx context.Context, c pomelo.Call) pomelo.Answer {
 	r, isNew := t.begin(c)
 	if !isNew {
-		return t.await(ctx, r)
+		a := t.await(ctx, r)
+		t.log.Info("call_repeated", "request", c.ID, "root", c.RootID, "service", c.Service, "ran", ranOf(a))
+		return a
 	}
 	runCtx, cancel := r.detach(ctx)
 	defer cancel(nil)
@@ -94,7 +105,17 @@
 	if r == nil {
 		return pomelo.Refuse(q.ID, inDoubt())
 	}
-	return t.await(ctx, r)
+	a := t.await(ctx, r)
+	t.log.Info("call_resolved", "request", q.ID, "ran", ranOf(a))
+	return a
+}
+
+// ranOf states whether the call of the answer has run.
+func ranOf(a pomelo.Answer) pomelo.Ran {
+	if a.Refusal == nil {
+		return pomelo.RanYes
+	}
+	return a.Refusal.Ran
 }
 
 // await waits for the record's answer; if a waiter cancels, the call is cancelled.
--- a/inlet/conn.go
+++ b/inlet/conn.go
@@ -213,6 +213,8 @@
 
 // refuse queues an empty reply with the status, after which the connection closes.
 func (c *conn) refuse(status int) {
+	c.server.metrics.Count("inlet.refused."+strconv.Itoa(status), 1)
+	c.server.log.Info("request_not_read", "caller", c.RemoteAddr(), "status", status)
 	s := &pendingReply{reply: make(chan pomelo.Reply, 1), close: true}
 	c.mu.Lock()
 	c.inFlight++
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -191,6 +191,8 @@
 		i.metrics.Count("answered", 1)
 		if a.Status >= http.StatusInternalServerError {
 			i.metrics.Count("answered_failure", 1)
+		}
+		if a.Status >= http.StatusInternalServerError || pomelo.IsNotRunStatus(a.Status) {
 			i.log.Info("request_failed_upstream", "request", q.ID, "root", c.RootID, "route", c.RouteName, "service", c.Service, "status", a.Status, "took_ms", took)
 		}
 		return i.dialect.EncodeReply(q.ID, a)
--- a/mesh/components.go
+++ b/mesh/components.go
@@ -242,7 +242,7 @@
 }
 
 func newFence(c *clock.Clock, w *worker.Worker, log pomelo.Logger) *fence.Table {
-	return fence.New(c, guard.New(log).Handler(w))
+	return fence.New(c, guard.New(log).Handler(w), fence.WithLog(log))
 }
 
 func newListen(n *Node, i *ident.Identity, w *wire.Codec, v *view.View, f *fence.Table, r *rates.Limiter, log pomelo.Logger) *listen.Server {
@@ -256,10 +256,10 @@
 	return s
 }
 
-func newSender(n *Node, c *clock.Clock, v *view.View, d *dialer.Pool, w *worker.Worker, x *subset.Chooser, m *metric.Sink) *send.Sender {
+func newSender(n *Node, c *clock.Clock, v *view.View, d *dialer.Pool, w *worker.Worker, x *subset.Chooser, m *metric.Sink, log pomelo.Logger) *send.Sender {
 	p := place.New(c, n.settings.AvailabilityZone, newSeed())
 	r := retry.New(c, retry.WithShare(retryShare*n.settings.RetryRatio, retryFloor), retry.WithPerSecondShare(retryPerSecondShare))
-	opts := []func(*send.Sender){send.WithRetryBudget(r), send.WithMaxPlacements(maxPlacements), send.WithMaxAttempts(maxAttempts)}
+	opts := []func(*send.Sender){send.WithRetryBudget(r), send.WithMaxPlacements(maxPlacements), send.WithMaxAttempts(maxAttempts), send.WithLog(log)}
 	if n.settings.Features.PeerSubset {
 		opts = append(opts, send.WithSubset(x, n.settings.Service))
 	}
--- a/refusal_status.go
+++ b/refusal_status.go
@@ -34,6 +34,15 @@
 	}
 }
 
+// IsNotRunStatus reports whether the status tells a caller that its request has not run and never will.
+func IsNotRunStatus(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // SetRefusalHeaders sets the headers of a refusal: whether the request ran, and Retry-After in whole seconds.
 func SetRefusalHeaders(h http.Header, f *Fault) {
 	h.Set(HeaderRan, string(f.Ran))
--- a/send/sender.go
+++ b/send/sender.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"slices"
 
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/logs"
 	"github.com/pomeloworks/pomelo/notice"
 	"github.com/pomeloworks/pomelo/subset"
 )
@@ -25,6 +27,7 @@
 	metrics     pomelo.Metrics
 	retryBudget pomelo.RetryBudget
 	notices     *notice.Board
+	log         pomelo.Logger
 	// subset, if it is set, chooses the members for the first subsetAttempts of a call; service is this node's.
 	subset  *subset.Chooser
 	service string
@@ -48,6 +51,7 @@
 		metrics:     metrics,
 		retryBudget: unlimited{},
 		notices:     notice.New(clock),
+		log:         logs.New(io.Discard),
 	}
 	for _, o := range opts {
 		o(s)
@@ -60,6 +64,11 @@
 	return func(s *Sender) { s.retryBudget = b }
 }
 
+// WithLog logs each further attempt of a call that is not idempotent.
+func WithLog(log pomelo.Logger) func(*Sender) {
+	return func(s *Sender) { s.log = log }
+}
+
 // WithMaxPlacements allows up to n members in all to refuse a call before their upstream has seen it, without spending a retry.
 func WithMaxPlacements(n int) func(*Sender) {
 	return func(s *Sender) { s.maxPlacements = n }
@@ -108,6 +117,9 @@
 			return a
 		}
 		s.metrics.Count("send.retries", 1)
+		if c.NonIdempotent {
+			s.log.Info("call_retried", "request", c.ID, "root", c.RootID, "service", c.Service, "attempt", len(tried)+1, "member", m.VM, "previous", tried[len(tried)-1], "kind", a.Refusal.Kind, "reason", a.Refusal.Message, "ran", a.Refusal.Ran)
+		}
 	}
 }
 
--- a/uplink/client.go
+++ b/uplink/client.go
@@ -42,14 +42,16 @@
 	// onResponse is called with the head of each response that belongs to its call.
 	onResponse func(pomelo.Instance, pomelo.ResponseInfo)
 	// onSkipped is called with a call that waits on after a response that is not its own.
-	onSkipped func(pomelo.Call, int)
+	onSkipped func(pomelo.Call, pomelo.Exchange)
+	// onRejected is called with a call that the upstream states it has not run.
+	onRejected func(pomelo.Call, pomelo.Exchange)
 	// onRefused is called when the upstream's address has refused a connection.
 	onRefused func(pomelo.Instance)
 }
 
 // New returns a client that connects on demand.
 func New(dialect pomelo.Dialect, clock pomelo.Clock, metrics pomelo.Metrics, opts ...func(*Client)) *Client {
-	cl := &Client{dialect: dialect, clock: clock, metrics: metrics, budget: budget.New(defaultBudgetBytes), onResponse: func(pomelo.Instance, pomelo.ResponseInfo) {}, onSkipped: func(pomelo.Call, int) {}, onRefused: func(pomelo.Instance) {}}
+	cl := &Client{dialect: dialect, clock: clock, metrics: metrics, budget: budget.New(defaultBudgetBytes), onResponse: func(pomelo.Instance, pomelo.ResponseInfo) {}, onSkipped: func(pomelo.Call, pomelo.Exchange) {}, onRejected: func(pomelo.Call, pomelo.Exchange) {}, onRefused: func(pomelo.Instance) {}}
 	for _, o := range opts {
 		o(cl)
 	}
@@ -66,11 +68,16 @@
 	cl.onResponse = f
 }
 
-// OnSkipped sets the function that is called with a call and the status of a response on its connection that is not its own; it must be called before Do.
-func (cl *Client) OnSkipped(f func(pomelo.Call, int)) {
+// OnSkipped sets the function that is called with a call and a response on its connection that is not its own; it must be called before Do.
+func (cl *Client) OnSkipped(f func(pomelo.Call, pomelo.Exchange)) {
 	cl.onSkipped = f
 }
 
+// OnRejected sets the function that is called with a call and the response that states that it did not run; it must be called before Do.
+func (cl *Client) OnRejected(f func(pomelo.Call, pomelo.Exchange)) {
+	cl.onRejected = f
+}
+
 // OnRefused sets the function that is called when the upstream's address has refused a connection; it must be called before Do.
 func (cl *Client) OnRefused(f func(pomelo.Instance)) {
 	cl.onRefused = f
@@ -138,14 +145,18 @@
 	isFirst bool
 }
 
+func (e *exchange) describe(resp *http.Response, info pomelo.ResponseInfo) pomelo.Exchange {
+	return pomelo.Exchange{Status: resp.StatusCode, Connection: e.conn.LocalAddr().String(), Calls: e.conn.calls, Unnamed: info.Unnamed}
+}
+
 // run returns the answer, and whether the connection may be reused.
 func (e *exchange) run(ctx context.Context) (pomelo.Answer, bool) {
 	head, err := e.requestHead()
 	if err != nil {
 		return pomelo.Refuse(e.call.ID, pomelo.NewFault(pomelo.KindBadRequest, err.Error(), "send a valid method, path and headers")), false
 	}
-	e.isFirst = !e.conn.hasCarried
-	e.conn.hasCarried = true
+	e.isFirst = e.conn.calls == 0
+	e.conn.calls++
 	e.send(head)
 	resp, info, err := e.readResponse()
 	if err != nil {
@@ -154,6 +165,7 @@
 	e.client.onResponse(e.upstream, info)
 	body, err := e.client.budget.ReadAll(resp.Body)
 	if info.NotRun {
+		e.client.onRejected(e.call, e.describe(resp, info))
 		return pomelo.Refuse(e.call.ID, notRunFault(info)), err == nil && !info.Unnamed && e.isReusable(resp) && e.conn.recordRejection(e.call.ID, e.call.Deadline, e.client.clock.Now())
 	}
 	if err != nil {
@@ -221,7 +233,7 @@
 		}
 		e.unexpected = true
 		e.client.metrics.Count("uplink.stray_answers", 1)
-		e.client.onSkipped(e.call, resp.StatusCode)
+		e.client.onSkipped(e.call, e.describe(resp, info))
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, strayBytes+1))
 		if err != nil {
 			return nil, info, err
--- a/uplink/conn.go
+++ b/uplink/conn.go
@@ -22,8 +22,8 @@
 	reader *bufio.Reader
 	// reusableUntil is the time from which the upstream may close the connection as idle.
 	reusableUntil pomelo.Millis
-	// hasCarried is set once a call was sent on the connection.
-	hasCarried bool
+	// calls is the number of calls that were sent on the connection.
+	calls int
 	// rejected holds the deadlines of the calls that the upstream has rejected on this connection, by their ids.
 	rejected map[string]pomelo.Millis
 }
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -74,6 +74,7 @@
 	}
 	link.OnResponse(w.recordResponse)
 	link.OnSkipped(w.logSkipped)
+	link.OnRejected(w.logRejected)
 	link.OnRefused(w.recordRefused)
 	return w
 }
@@ -241,7 +242,7 @@
 		ctx = timed
 	}
 	if f := w.register(c); f != nil {
-		return pomelo.Refuse(c.ID, f)
+		return w.refuse(c, f, arrived)
 	}
 	a := w.waitAndRun(ctx, c, arrived)
 	ownCall := pomelo.SubtreeCalls{Service: c.Service, Calls: 1, ShedThreshold: w.limiter.ShedThreshold(c.FairShareAccount)}
@@ -340,8 +341,13 @@
 }
 
 // logSkipped tells why a call may wait until its deadline: the upstream sent a response that it may have written for another call.
-func (w *Worker) logSkipped(c pomelo.Call, status int) {
-	w.log.Info("response_skipped", "request", c.ID, "root", c.RootID, "service", c.Service, "status", status)
+func (w *Worker) logSkipped(c pomelo.Call, x pomelo.Exchange) {
+	w.log.Info("response_skipped", "request", c.ID, "root", c.RootID, "service", c.Service, "status", x.Status, "connection", x.Connection, "calls", x.Calls)
+}
+
+// logRejected tells on which connection the upstream stated that it has not run the call, as the upstream's own log names it.
+func (w *Worker) logRejected(c pomelo.Call, x pomelo.Exchange) {
+	w.log.Info("call_rejected", "request", c.ID, "root", c.RootID, "service", c.Service, "status", x.Status, "connection", x.Connection, "calls", x.Calls, "unnamed", x.Unnamed)
 }
 
 func (w *Worker) logFailure(c pomelo.Call, a pomelo.Answer, arrived, runTime pomelo.Millis) pomelo.Answer {
