A planned stop refuses early what it can't answer, and answers what it has taken

Operators of another system saw requests that came late in the grace period of a planned stop taken, passed on, and cut without an answer, orders among them (LOST).

What callers saw here, on the former code with node processes: - grace period of 1 s: 7 of 54 orders ran and their connections ended without an answer. Requests were taken until 2.2 s after the signal, which a shorter grace period never reaches. - grace period of 6 s: a request behind another one on its connection was taken 2.5 s after the signal, passed on, and got 504 while its upstream worked. Calls that waited in the queue stayed there until a slot was free, and were refused then.

Cause: the moments of the stop did not follow from the grace period, and nothing compared a request with the time left.

From the signal on a request or a call of another node whose latency objective exceeds the time left is refused as not run, and the others' deadlines end with it. The listener stays open while calls run beside the node, for their sub-calls, which were cut off before.

--- a/inlet/server.go
+++ b/inlet/server.go
@@ -89,10 +89,15 @@
 
 // Close stops accepting connections and closes the idle ones; running requests still get their replies.
 func (s *Server) Close() {
-	s.draining.Store(true)
 	if s.listener != nil {
 		_ = s.listener.Close()
 	}
+	s.CloseIdle()
+}
+
+// CloseIdle closes the idle connections and drains; new connections are still accepted.
+func (s *Server) CloseIdle() {
+	s.draining.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -36,6 +36,7 @@
 	service   string
 	maxKeyAge pomelo.Millis
 	balancer  balancer
+	stop      stop
 }
 
 // New returns an intake for a VM of this service that passes root requests to entry and sub-calls to next; maxKeyAge is the allowed age, in milliseconds, of the policy that keys are authenticated with.
@@ -110,6 +111,9 @@
 		return c, pomelo.NewFault(pomelo.KindNoRoute, "no route matches the host and path", "check them, or ask the operators to add a route")
 	}
 	c = i.fillCall(c, q, route, arrivedAt)
+	if f := i.stop.limit(&c, arrivedAt); f != nil {
+		return c, f
+	}
 	if err := i.authenticate(&c, q, route, p); err != nil {
 		return c, err
 	}
--- a/listen/server.go
+++ b/listen/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,6 +45,10 @@
 	mu          sync.Mutex
 	conns       map[*quic.Conn]bool
 	closedBytes uint64
+	// calls ends with Abort, and cancels the contexts of the running calls.
+	calls      context.Context
+	abortCalls context.CancelCauseFunc
+	pending    atomic.Int64
 }
 
 // New returns a server that accepts only peers whose certificate belongs to a member.
@@ -62,6 +67,7 @@
 	}
 	s.RegisterResponder(pomelo.MessagePing, pong)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.calls, s.abortCalls = context.WithCancelCause(context.Background())
 	return s
 }
 
@@ -102,6 +108,16 @@
 	return s.socket.LocalAddr().String()
 }
 
+// Pending returns the number of calls whose answers have not been written.
+func (s *Server) Pending() int {
+	return int(s.pending.Load())
+}
+
+// Abort cancels the running calls; their answers are still written.
+func (s *Server) Abort() {
+	s.abortCalls(pomelo.NewFault(pomelo.KindCanceled, "the serving node stops", "ask whether it ran before repeating it"))
+}
+
 // Close closes the listener and all its connections.
 func (s *Server) Close() {
 	s.cancel()
@@ -194,7 +210,7 @@
 		st.CancelWrite(codeCanceled)
 		return
 	}
-	ctx, cancel := streamContext(st)
+	ctx, cancel := streamContext(s.calls, st)
 	defer cancel()
 	switch m.Kind {
 	case pomelo.MessageCall:
@@ -231,16 +247,32 @@
 
 // handleCall decodes a call, handles it and writes its answer; the context's cause tells a cancelled call from a lost connection.
 func (s *Server) handleCall(ctx context.Context, st *quic.Stream, m pomelo.Message) {
+	s.pending.Add(1)
+	defer s.pending.Add(-1)
 	var c pomelo.Call
 	if err := s.codec.Decode(m, &c); err != nil {
 		s.writeAnswer(st, pomelo.Refuse(m.ID, notRunFault(err)))
 		return
 	}
 	c.Body = m.Body
-	s.writeAnswer(st, s.handler.Handle(ctx, c))
+	s.writeAnswer(st, s.withAbort(s.handler.Handle(ctx, c)))
+}
+
+// withAbort reports a call that Abort canceled as lost with its node, since its caller has not given it up.
+func (s *Server) withAbort(a pomelo.Answer) pomelo.Answer {
+	if s.calls.Err() == nil || a.Refusal == nil || a.Refusal.Kind != pomelo.KindCanceled {
+		return a
+	}
+	f := *a.Refusal
+	f.Kind = pomelo.KindPeerLost
+	f.Message = "the serving node stops: " + f.Message
+	a.Refusal = &f
+	return a
 }
 
 func (s *Server) handleFence(ctx context.Context, st *quic.Stream, m pomelo.Message) {
+	s.pending.Add(1)
+	defer s.pending.Add(-1)
 	var q pomelo.FenceRequest
 	if err := s.codec.Decode(m, &q); err != nil || s.fencer == nil {
 		s.log.Debug("fence_unreadable", "id", m.ID)
--- a/listen/stream_context.go
+++ b/listen/stream_context.go
@@ -8,9 +8,9 @@
 	"github.com/quic-go/quic-go"
 )
 
-// streamContext returns a context that ends with the stream; its cause is KindCanceled if the peer reset the stream, and KindPeerLost if the connection was lost.
-func streamContext(st *quic.Stream) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancelCause(context.Background())
+// streamContext returns a context that ends with the stream or its parent; its cause is KindCanceled if the peer reset the stream, and KindPeerLost if the connection was lost.
+func streamContext(parent context.Context, st *quic.Stream) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(parent)
 	stop := context.AfterFunc(st.Context(), func() { cancel(cancelCause(context.Cause(st.Context()))) })
 	return ctx, func() {
 		stop()
--- a/mesh/components.go
+++ b/mesh/components.go
@@ -82,6 +82,7 @@
 	Dialer       *dialer.Pool
 	Listen       *listen.Server
 	Inlet        *inlet.Server
+	Intake       *intake.Intake
 	Queue        *queue.Queue
 	Subsets      *subset.Chooser
 	Usage        *usage.Meter
@@ -231,6 +232,7 @@
 	}
 	opts := []func(*worker.Worker){
 		worker.WithServices(policyServices{source: v}.Service),
+		worker.WithWaiting(q),
 		worker.WithResumeTime(pomelo.Millis(resumeIntervals * float64(interval))),
 	}
 	if n.appliesEvacuations() {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -21,13 +21,6 @@
 	readTimeout       = pomelo.Millis(6_000)
 	// idleTimeout exceeds every interval of heartbeats and probes.
 	idleTimeout = pomelo.Millis(60_000)
-	// readinessDelay is the time, in milliseconds, for which a stopping node still accepts requests: the platform probes readiness once a second and removes a node after two failed probes.
-	readinessDelay = pomelo.Millis(2_200)
-	// abortMargin is the time before the end of the grace period at which pending requests are canceled; it lies within the last sixth of the grace period.
-	abortMargin = pomelo.Millis(950)
-	// exitMargin is the part of the grace period that is left for the process to exit.
-	exitMargin = pomelo.Millis(500)
-	stopPoll   = pomelo.Millis(20)
 	// ownershipPoll is the interval between checks whether this process is the sole owner of its resources.
 	ownershipPoll = pomelo.Millis(500)
 	// defaultHeartbeatInterval is the interval of heartbeats where the platform states none.
@@ -196,36 +189,6 @@
 	n.components.Log.Info("settings_reloaded", "changed", s != n.settings)
 }
 
-// Stop marks the node as draining for the other members, waits for running calls, and returns before the grace period ends.
-func (n *Node) Stop() {
-	startedAt := n.components.Clock.Monotonic()
-	n.stopping.Store(true)
-	n.components.Log.Info("node_stopping", "running", n.components.Worker.Running(), "pending", n.components.Inlet.Pending())
-	n.components.Inlet.Drain()
-	n.components.Beacon.UpdateMember(func(m *pomelo.Member) { m.SetDraining(true) })
-	closed := false
-	for n.components.Clock.Monotonic()-startedAt < n.settings.DrainGrace-exitMargin {
-		_ = n.components.Clock.Sleep(context.Background(), stopPoll)
-		if n.components.Clock.Monotonic()-startedAt < readinessDelay {
-			continue
-		}
-		if !closed {
-			n.components.Inlet.Close()
-			n.components.Worker.Drain()
-			closed = true
-		}
-		if n.components.Worker.Running()+n.components.Inlet.Pending() == 0 {
-			break
-		}
-		if n.components.Clock.Monotonic()-startedAt >= n.settings.DrainGrace-abortMargin {
-			n.components.Inlet.Abort()
-		}
-	}
-	n.close()
-	n.components.Log.Info("node_stopped", "running", n.components.Worker.Running(), "pending", n.components.Inlet.Pending(), "took_ms", n.components.Clock.Monotonic()-startedAt)
-	n.components.Spool.FlushWithin(flushTimeout)
-}
-
 // Kill closes all listeners and connections without draining, as the death of the process does.
 func (n *Node) Kill() {
 	n.components.Inlet.Close()
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -50,6 +50,10 @@
 	running        map[string]*runningCall
 	inFlight       int
 	draining       bool
+	// stopBy is the time by which calls must be answered because the process ends, or 0.
+	stopBy pomelo.Millis
+	// waiting refuses the waiting calls when the worker drains; nil if none wait.
+	waiting pomelo.WaitingRefuser
 }
 
 // New returns a worker without an upstream; onChange is called at each change of the upstream, in their order, with whether it accepts calls; it must neither block nor call the worker.
@@ -188,11 +192,47 @@
 	return identity{id: i.ID, address: i.Address, service: i.Service, startedAt: i.StartedAt, slots: i.Slots, draining: i.Draining}
 }
 
-// Drain makes the worker refuse new calls as not run; running calls continue.
-func (w *Worker) Drain() {
+// WithWaiting sets what refuses the waiting calls when the worker drains.
+func WithWaiting(r pomelo.WaitingRefuser) func(*Worker) {
+	return func(w *Worker) { w.waiting = r }
+}
+
+// StopBy bounds the deadlines of the calls from now on, and makes the worker refuse those as not run that can't be expected to be answered by the given time.
+func (w *Worker) StopBy(end pomelo.Millis) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.stopBy = end
+}
+
+// Drain makes the worker refuse new and waiting calls as not run, and returns the number of the latter; running calls continue.
+func (w *Worker) Drain() int {
+	w.mu.Lock()
 	w.draining = true
+	w.mu.Unlock()
+	if w.waiting == nil {
+		return 0
+	}
+	return w.waiting.RefuseWaiting(drainingFault)
+}
+
+// limitTime returns the refusal of a call that arrives too late in a planned stop, or bounds its deadline. The call's context keeps its time, so that the upstream's own answer at the deadline still arrives.
+func (w *Worker) limitTime(c *pomelo.Call, arrived pomelo.Millis) *pomelo.Fault {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopBy == 0 {
+		return nil
+	}
+	if arrived+c.LatencyObjective > w.stopBy {
+		return drainingFault()
+	}
+	c.Deadline = min(c.Deadline, w.stopBy)
+	return nil
+}
+
+func drainingFault() *pomelo.Fault {
+	f := pomelo.NewFault(pomelo.KindDraining, "the upstream takes no new calls", "send the request to another upstream")
+	f.RetryAfter = drainRetryAfter
+	return f
 }
 
 // Running returns the number of running and waiting calls.
@@ -236,6 +276,9 @@
 func (w *Worker) handle(ctx context.Context, c pomelo.Call) pomelo.Answer {
 	arrived := w.clock.Now()
 	c.Deadline = arrived + c.TimeLeft
+	if f := w.limitTime(&c, arrived); f != nil {
+		return w.refuse(c, f, arrived)
+	}
 	if _, ok := ctx.Deadline(); !ok {
 		timed, cancel := context.WithTimeout(ctx, c.TimeLeft.Duration())
 		defer cancel()
@@ -304,9 +347,7 @@
 		return i, pomelo.NewFault(pomelo.KindNoUpstream, "no upstream of service "+service+" is beside this node", "send the request to another upstream")
 	}
 	if i.Draining || w.draining {
-		f := pomelo.NewFault(pomelo.KindDraining, "the upstream takes no new calls", "send the request to another upstream")
-		f.RetryAfter = drainRetryAfter
-		return i, f
+		return i, drainingFault()
 	}
 	return i, nil
 }
