intake: an upstream's own status that promises "not run" is not passed on for a request that may run once

What callers saw: an upstream that runs an order and responds with 408, 429 or 503, without stating that it has not run it, had that status passed on, and the caller was told that the order had not run (REFUSED).

Cause: a response without a refusal of ours was returned as it is. Its status means the upstream's failure on one side and our promise on the other.

Change: for requests that may run once it becomes 502 without the upstream's seal, "may have run", and is counted as intake.unstated_refusals. Reads still get the upstream's own response.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		return i.reply(q, c, pomelo.Refuse(q.ID, pomelo.FaultOf(err)), arrivedAt)
 	}
-	a := i.dispatch(ctx, c)
+	a := i.withoutPromise(c, i.dispatch(ctx, c))
 	if c.Account != "" && a.Refusal != nil && a.Refusal.Ran == pomelo.RanNo {
 		i.rates.Refund(c.Account)
 	}
--- a/mesh/path_test.go
+++ b/mesh/path_test.go
@@ -71,6 +71,8 @@
 	leaving atomic.Bool
 	// leavingTold holds the times of the responses that say so.
 	leavingTold arrivals
+	// status is that of each response; 0 means 200.
+	status atomic.Int64
 	// delay is the time of each response, in nanoseconds.
 	delay atomic.Int64
 	// startedAt is the time of the present start, which grows with each crash.
@@ -113,6 +115,9 @@
 	}
 	body, _ := io.ReadAll(r.Body)
 	w.Header().Set("Server-Seal", "sealed")
+	if s := u.status.Load(); s != 0 {
+		w.WriteHeader(int(s))
+	}
 	fmt.Fprintf(w, "%s %s account=%s origin=%s key=%s body=%d", r.Method, r.URL.Path, r.Header.Get("Tenant"), r.Header.Get("Caller-Service"), r.Header.Get("Authorization"), len(body))
 }
 
