--- a/call.go
+++ b/call.go
@@ -44,6 +44,14 @@
 	Deadline Millis `cbor:"-"`
 }
 
+// expectedShare is the share of its latency objective within which a call is expected to be answered.
+const expectedShare = 0.5
+
+// CanEndBy reports whether the call can be expected to be answered by the given time if it starts now.
+func (c Call) CanEndBy(end, now Millis) bool {
+	return now+Millis(expectedShare*float64(c.LatencyObjective)) <= end
+}
+
 // SubtreeCalls counts the calls that a call and its sub-calls made to one service.
 type SubtreeCalls struct {
 	Service string `cbor:"1,keyasint"`
--- a/intake/stop.go
+++ b/intake/stop.go
@@ -14,7 +14,7 @@
 	refusing atomic.Bool
 }
 
-// StopBy makes the intake refuse as not run what can't be answered by the given time, and bounds the deadlines of the rest.
+// StopBy makes the intake refuse as not run what can't be expected to be answered by the given time, and bounds the deadlines of the rest.
 func (i *Intake) StopBy(end pomelo.Millis) {
 	i.stop.end.Store(int64(end))
 }
@@ -30,7 +30,7 @@
 	if end == 0 {
 		return nil
 	}
-	if c.Depth == 0 && (s.refusing.Load() || arrivedAt+c.LatencyObjective > end) {
+	if c.Depth == 0 && (s.refusing.Load() || !c.CanEndBy(end, arrivedAt)) {
 		return pomelo.NewFault(pomelo.KindDraining, "the node stops", "send the request to another node")
 	}
 	c.Deadline = min(c.Deadline, end)
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -222,7 +222,7 @@
 	if w.stopBy == 0 {
 		return nil
 	}
-	if arrived+c.LatencyObjective > w.stopBy {
+	if !c.CanEndBy(w.stopBy, arrived) {
 		return drainingFault()
 	}
 	c.Deadline = min(c.Deadline, w.stopBy)
