cmd/pomelo: nodes of the site stand-in exit without the race detector's pause

Under -race TestLateRequestsInPlannedStop and TestStopWithShortGrace failed once each beside heavy load: the process ended 6.02 s and 1.02 s after the signal, killed at the end of its grace period. Cause: the race detector sleeps for one second in the exit of a process.

--- a/cmd/pomelo/site_test.go
+++ b/cmd/pomelo/site_test.go
@@ -216,7 +216,8 @@
 		program = os.Args[0]
 	}
 	c := exec.Command(program, "sidecar", "-settings", n.settings, "-features", "relayed_watch")
-	c.Env = append(os.Environ(), reexecVariable+"=1")
+	// The race detector otherwise sleeps for a second at the exit, beyond the grace period.
+	c.Env = append(os.Environ(), reexecVariable+"=1", "GORACE=atexit_sleep_ms=0")
 	log, err := os.OpenFile(n.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		n.site.t.Error(err)
