--- a/mesh/stop.go
+++ b/mesh/stop.go
@@ -38,13 +38,13 @@
 }
 
 func newStopTimes(grace pomelo.Millis) stopTimes {
-	share := func(limit pomelo.Millis, share float64) pomelo.Millis {
+	atMost := func(limit pomelo.Millis, share float64) pomelo.Millis {
 		return min(limit, pomelo.Millis(share*float64(grace)))
 	}
-	exit := grace - share(exitMargin, exitShare)
-	abort := grace - share(abortMargin, abortShare)
+	exit := grace - atMost(exitMargin, exitShare)
+	abort := grace - atMost(abortMargin, abortShare)
 	return stopTimes{
-		refuse:     share(readinessDelay, refuseShare),
+		refuse:     atMost(readinessDelay, refuseShare),
 		abort:      abort,
 		abortCalls: max(abort, exit-deliveryTime-stopPoll),
 		exit:       exit,
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -386,8 +386,11 @@
 	w.log.Info("response_skipped", "request", c.ID, "root", c.RootID, "service", c.Service, "status", x.Status, "connection", x.Connection, "calls", x.Calls)
 }
 
-// logRejected tells on which connection the upstream stated that it has not run the call, as the upstream's own log names it.
+// logRejected tells on which connection the upstream stated that it has not run a call that may run once, as the upstream's own log names it.
 func (w *Worker) logRejected(c pomelo.Call, x pomelo.Exchange) {
+	if !c.NonIdempotent {
+		return
+	}
 	w.log.Info("call_rejected", "request", c.ID, "root", c.RootID, "service", c.Service, "status", x.Status, "connection", x.Connection, "calls", x.Calls, "unnamed", x.Unnamed)
 }
 
