--- a/cmd/pomelo/site_test.go
+++ b/cmd/pomelo/site_test.go
@@ -130,6 +130,8 @@
 			s.addNode(sitePerZone*z+k, fmt.Sprintf("zone-%c", 'a'+z), x)
 		}
 	}
+	// The stores' listeners wait for the calls of running nodes.
+	t.Cleanup(s.close)
 	return s
 }
 
