Review: a key that was taken away goes on running after a manifest that can't be read

Cause: the weights of a split are decoded as whole numbers. A node keeps its policy when it can't read the store's, and still counts it as proven by that read.

Change: case 9 of the second review; case 6 has more requests and a longer time until the endpoint's exit, since some runs sent it few requests.

--- a/review/standin2/clock.go
+++ b/review/standin2/clock.go
@@ -14,7 +14,7 @@
 	downTime    = 500 * time.Millisecond
 	serveTime   = 4 * time.Second
 	drainBound  = 2 * time.Second
-	exitAfter   = 4 * time.Second
+	exitAfter   = 6 * time.Second
 	clockLength = serveTime + exitAfter + time.Second
 )
 
@@ -71,7 +71,7 @@
 }
 
 // clockInterval is the interval between two requests to one node.
-const clockInterval = 50 * time.Millisecond
+const clockInterval = 20 * time.Millisecond
 
 // checkClock looks for requests that reached the endpoint later than drain_ms after the acknowledgement.
 func checkClock(l *lab, e *endpoint, acknowledged time.Duration) bool {
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -23,9 +23,10 @@
 		os.Exit(exitNotRun)
 	}
 	scenarios := map[string]scenario{
-		"quota": playQuota,
-		"leave": playLeave,
-		"clock": playClock,
+		"quota":  playQuota,
+		"leave":  playLeave,
+		"revoke": playRevoke,
+		"clock":  playClock,
 	}
 	play, ok := scenarios[os.Args[1]]
 	if !ok {
--- a/review/standin2/quota.go
+++ b/review/standin2/quota.go
@@ -33,7 +33,7 @@
 
 // playQuota lowers a tenant's burst and puts it back while the tenant asks for more than its limit.
 func playQuota(l *lab, trouble bool) (bool, error) {
-	m := manifest{version: 1, service: "history", timeoutMS: 5000, tenant: "grower", key: "key-of-grower", rate: quotaRate, burst: quotaBurst}
+	m := manifest{version: 1, service: "history", timeoutMS: 5000, tenant: "grower", keys: []string{"key-of-grower"}, rate: quotaRate, burst: quotaBurst}
 	if err := l.write(m); err != nil {
 		return false, err
 	}
@@ -46,7 +46,7 @@
 		return false, err
 	}
 	time.Sleep(settleTime)
-	t := newTraffic(l, m.key)
+	t := newTraffic(l, m.keys[0])
 	ctx, cancel := context.WithTimeout(l.ctx, quotaLength)
 	defer cancel()
 	var sending sync.WaitGroup
@@ -74,6 +74,8 @@
 	lab    *lab
 	key    string
 	client *http.Client
+	// label begins the ids of the requests.
+	label string
 
 	mu      sync.Mutex
 	count   int
@@ -83,7 +85,7 @@
 
 func newTraffic(l *lab, key string) *traffic {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}, Timeout: 6 * time.Second}
-	return &traffic{lab: l, key: key, client: client, sent: map[string]time.Duration{}, answers: map[int]int{}}
+	return &traffic{lab: l, key: key, client: client, label: "0000", sent: map[string]time.Duration{}, answers: map[int]int{}}
 }
 
 // sendTo sends requests to one node at a fixed rate until the context ends, and waits for their answers.
@@ -105,7 +107,7 @@
 func (t *traffic) send(m *machine) {
 	t.mu.Lock()
 	t.count++
-	id := fmt.Sprintf("%016x", t.count)
+	id := fmt.Sprintf("%s%012x", t.label, t.count)
 	t.mu.Unlock()
 	r, err := http.NewRequest(http.MethodGet, "http://"+m.outbound+prefix+"chart", http.NoBody)
 	if err != nil {
