Review: a heartbeat with missing fields replaces those of the endpoint

Cause: a heartbeat needs its address, service, slots and state only. One of another writer with a later start time takes the place of the endpoint's own, which are dropped from then on and still answered with 200.

--- a/review/standin2/endpoint.go
+++ b/review/standin2/endpoint.go
@@ -95,7 +95,7 @@
 	e.mu.Lock()
 	e.draining = true
 	e.mu.Unlock()
-	for ctx.Err() == nil && !e.sendHeartbeat(ctx) {
+	for ctx.Err() == nil && !e.sendHeartbeat() {
 		time.Sleep(pollInterval)
 	}
 	at := e.machine.lab.now()
@@ -163,16 +163,24 @@
 
 // deregister says that the endpoint leaves.
 func (e *endpoint) deregister() error {
-	body, err := json.Marshal(map[string]any{"born": e.born})
+	status, err := e.post("deregister", map[string]any{"born": e.born})
+	e.machine.lab.note("endpoint %s deregisters: %d", e.id, status)
+	return err
+}
+
+// post sends a call of the endpoint to its node and returns the status of the answer.
+func (e *endpoint) post(call string, document map[string]any) (int, error) {
+	body, err := json.Marshal(document)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	resp, err := http.Post(fmt.Sprintf("http://%s/instances/%s/deregister", e.machine.control, e.id), "application/json", bytes.NewReader(body))
+	url := fmt.Sprintf("http://%s/instances/%s/%s", e.machine.control, e.id, call)
+	client := http.Client{Timeout: heartbeatTimeout}
+	resp, err := client.Post(url, "application/json", bytes.NewReader(body))
 	if err != nil {
-		return err
+		return 0, err
 	}
-	e.machine.lab.note("endpoint %s deregisters: %d", e.id, resp.StatusCode)
-	return resp.Body.Close()
+	return resp.StatusCode, resp.Body.Close()
 }
 
 func (e *endpoint) sendHeartbeats(ctx context.Context) {
@@ -181,7 +189,7 @@
 		e.mu.Lock()
 		down := e.down
 		e.mu.Unlock()
-		if down || !e.sendHeartbeat(ctx) {
+		if down || !e.sendHeartbeat() {
 			wait = pollInterval
 		}
 		select {
@@ -192,7 +200,7 @@
 }
 
 // sendHeartbeat reports whether the node has acknowledged the heartbeat.
-func (e *endpoint) sendHeartbeat(ctx context.Context) bool {
+func (e *endpoint) sendHeartbeat() bool {
 	e.mu.Lock()
 	e.sequence++
 	sequence, born, state := e.sequence, e.born, "ready"
@@ -200,27 +208,11 @@
 		state = "draining"
 	}
 	e.mu.Unlock()
-	body, err := json.Marshal(map[string]any{
+	status, err := e.post("heartbeat", map[string]any{
 		"address": e.address,
 		"born":    born,
 		"info":    map[string]any{"service": e.machine.service, "version": "v1", "zone": e.machine.zone, "slots": e.opts.slots},
 		"status":  map[string]any{"state": state, "seq": sequence, "warmup_left_ms": 0},
 	})
-	if err != nil {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
-	defer cancel()
-	url := fmt.Sprintf("http://%s/instances/%s/heartbeat", e.machine.control, e.id)
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
-	if err != nil {
-		return false
-	}
-	r.Header.Set("Content-Type", "application/json")
-	resp, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	return err == nil && status == http.StatusOK
 }
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -26,6 +26,7 @@
 		"quota":  playQuota,
 		"leave":  playLeave,
 		"revoke": playRevoke,
+		"odd":    playOdd,
 		"clock":  playClock,
 	}
 	play, ok := scenarios[os.Args[1]]
