Review: every change of the members gives an account its burst again

Cause: a resource owned through all of the 16 retained lists of members counts as owned since the oldest of them. Each further change moves that time, and the owner makes a new bucket for it, filled since then.

--- a/review/standin2/lab.go
+++ b/review/standin2/lab.go
@@ -146,6 +146,8 @@
 	endpoint *endpoint
 	process  *exec.Cmd
 	ended    chan struct{}
+	// restarted is set once the node has been started again, so that it is no longer the fleet's first start.
+	restarted bool
 }
 
 func (m *machine) start(opts endpointOptions) error {
@@ -220,6 +222,14 @@
 	}
 }
 
+// restart stops the node as planned work does, and starts it again; the endpoint goes on.
+func (m *machine) restart() error {
+	m.lab.note("node %s gets SIGTERM", m.name)
+	m.stop()
+	m.restarted = true
+	return m.startNode()
+}
+
 func (m *machine) isReady() bool {
 	resp, err := http.Get("http://" + m.ready + "/readiness")
 	if err != nil {
@@ -240,7 +250,7 @@
 		"self.zone=" + m.zone,
 		"self.region=sofia",
 		"self.counts_as_loss=false",
-		"self.bootstrap=true",
+		fmt.Sprintf("self.bootstrap=%t", !m.restarted),
 		"self.limits.cpu_share=0.64",
 		"self.limits.cores=1",
 		"self.limits.memory_mb=284",
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -26,7 +26,7 @@
 		"quota":  playQuota,
 		"leave":  playLeave,
 		"revoke": playRevoke,
-		"odd":    playOdd,
+		"roll":   playRoll,
 		"clock":  playClock,
 	}
 	play, ok := scenarios[os.Args[1]]
--- a/review/standin2/quota.go
+++ b/review/standin2/quota.go
@@ -66,7 +66,7 @@
 		}
 	}
 	sending.Wait()
-	return t.check(), nil
+	return t.check(quotaRate, quotaBurst), nil
 }
 
 // traffic is the requests of one tenant.
@@ -137,7 +137,7 @@
 }
 
 // check finds the window in which most requests were both sent and run, and compares it with the highest limit that may be in force.
-func (t *traffic) check() bool {
+func (t *traffic) check(limitRate, limitBurst float64) bool {
 	type run struct{ sent, began time.Duration }
 	var runs []run
 	for _, m := range t.lab.machines {
@@ -159,7 +159,7 @@
 			most, from = n, first.sent
 		}
 	}
-	allowed := (quotaRate*quotaWindow.Seconds()+quotaBurst)*(1+quotaOverage) + quotaSlack
+	allowed := (limitRate*quotaWindow.Seconds()+limitBurst)*(1+quotaOverage) + quotaSlack
 	for status, n := range t.answers {
 		t.lab.note("answers %s: %d", strconv.Itoa(status), n)
 	}
