Review: answers that clients read slowly take a node over its memory limit

Cause: a complete answer is counted nowhere while it waits to be written, and it is copied once more to be written.

--- a/review/standin2/endpoint.go
+++ b/review/standin2/endpoint.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -23,6 +24,8 @@
 	work  time.Duration
 	// clockAhead is how far the machine's time of day is ahead when the endpoint starts.
 	clockAhead time.Duration
+	// bodyBytes is the size of an answer; at 0 it is a short text.
+	bodyBytes int
 }
 
 // execution is one request that an endpoint began to work on.
@@ -132,6 +135,11 @@
 		return
 	}
 	w.Header().Set("Server-Seal", "seal-"+id)
+	if e.opts.bodyBytes > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(e.opts.bodyBytes))
+		_, _ = w.Write(make([]byte, e.opts.bodyBytes))
+		return
+	}
 	_, _ = io.WriteString(w, "body of "+id)
 }
 
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -26,7 +26,7 @@
 		"quota":  playQuota,
 		"leave":  playLeave,
 		"revoke": playRevoke,
-		"roll":   playRoll,
+		"slow":   playSlow,
 		"clock":  playClock,
 	}
 	play, ok := scenarios[os.Args[1]]
