--- a/review/standin2/leave.go
+++ b/review/standin2/leave.go
@@ -65,7 +65,7 @@
 	w := bufio.NewWriter(c)
 	for i := range pipelined {
 		id := fmt.Sprintf("%08x%08x", client+1, i+1)
-		_, _ = fmt.Fprintf(w, "GET %schart HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 5000\r\n\r\n", prefix, host, id)
+		_, _ = fmt.Fprintf(w, "GET %schart HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 5000\r\n\r\n", prefix, host, names["request"], id, names["deadline"])
 		l.note("request %s sent to %s", id, m.name)
 	}
 	return c, w.Flush()
@@ -81,7 +81,7 @@
 			l.note("no answer: %v", err)
 			return
 		}
-		l.note("answer %s: %d", resp.Header.Get("Request-Id"), resp.StatusCode)
+		l.note("answer %s: %d", resp.Header.Get(names["request"]), resp.StatusCode)
 		_ = resp.Body.Close()
 	}
 }
--- a/review/standin2/manifest.go
+++ b/review/standin2/manifest.go
@@ -29,13 +29,13 @@
 	service := map[string]any{"health_path": "/health", "max_connections": 430, "protocol": "h1", "tls": false}
 	services := map[string]any{m.service: service}
 	route := map[string]any{
-		"host": host, "path_prefix": prefix, "route_type": "idempotent", "timeout_ms": m.timeoutMS,
-		"target_latency_ms": 1500, "priority": 2, "attempts": 2, "public": m.tenant == "",
+		"host": host, names["prefix"]: prefix, names["kind"]: "idempotent", "timeout_ms": m.timeoutMS,
+		names["objective"]: 1500, "priority": 2, "attempts": 2, "public": m.tenant == "",
 	}
 	if m.weights == nil {
 		route["service"] = m.service
 	} else {
-		route["traffic_split"] = []map[string]any{
+		route[names["split"]] = []map[string]any{
 			{"service": m.service, "weight": m.weights[0]},
 			{"service": m.second, "weight": m.weights[1]},
 		}
@@ -48,13 +48,13 @@
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	}
 	if m.tenant != "" {
-		document["tenants"] = map[string]any{m.tenant: map[string]any{"api_keys": m.keys, "priority": 1, "rate_per_s": m.rate, "burst": m.burst}}
+		document["tenants"] = map[string]any{m.tenant: map[string]any{names["keys"]: m.keys, "priority": 1, names["rate"]: m.rate, "burst": m.burst}}
 	}
 	value, err := json.Marshal(document)
 	if err != nil {
 		return err
 	}
-	l.store.Put("op/config", value)
+	l.store.Put(names["policy"], value)
 	l.note("manifest r%d acknowledged: tenant %q, %d keys, rate %g, burst %g, weights %v", m.version, m.tenant, len(m.keys), m.rate, m.burst, m.weights)
 	return nil
 }
--- a/review/standin2/quota.go
+++ b/review/standin2/quota.go
@@ -114,8 +114,8 @@
 		return
 	}
 	r.Host = host
-	r.Header.Set("Request-Id", id)
-	r.Header.Set("Deadline-Ms", "5000")
+	r.Header.Set(names["request"], id)
+	r.Header.Set(names["deadline"], "5000")
 	if t.key != "" {
 		r.Header.Set("Authorization", "Bearer "+t.key)
 	}
