Review: cases 7 and 10 stay inside the site file's shares

Cause: the clock of one machine of three was changed, and all clients left, where the site file has shares of 0.28 and 0.3.

--- a/review/standin2/clock.go
+++ b/review/standin2/clock.go
@@ -32,6 +32,10 @@
 	if err := l.awaitReady(); err != nil {
 		return false, err
 	}
+	// A fourth machine, of another service: one machine of four is a share of 0.25.
+	if err := l.addMachine("history", "sofia-a", opts); err != nil {
+		return false, err
+	}
 	time.Sleep(crashAfter)
 	if trouble {
 		l.note("the time of day of the first machine jumps back")
--- a/review/standin2/leave.go
+++ b/review/standin2/leave.go
@@ -5,13 +5,18 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
+	"sync"
 	"time"
 )
 
 const (
 	// pipelined is the number of requests that a client sends before the first answer.
-	pipelined     = 40
+	pipelined = 40
+	// leaveClients leave, and stayClients, with a few requests each, stay: three of ten are a share of 0.3.
 	leaveClients  = 3
+	stayClients   = 7
+	stayPipelined = 4
 	leaveWork     = 3 * time.Second
 	leaveAfter    = 500 * time.Millisecond
 	noticeTime    = 500 * time.Millisecond
@@ -33,12 +38,22 @@
 	}
 	time.Sleep(settleTime)
 	var conns []net.Conn
-	for i := range leaveClients {
-		c, err := l.pipeline(l.machines[i%len(l.machines)], i)
+	var reading sync.WaitGroup
+	defer reading.Wait()
+	for i := range leaveClients + stayClients {
+		n := pipelined
+		if i >= leaveClients {
+			n = stayPipelined
+		}
+		c, err := l.pipeline(l.machines[i%len(l.machines)], i, n)
 		if err != nil {
 			return false, err
 		}
-		conns = append(conns, c)
+		if i < leaveClients {
+			conns = append(conns, c)
+			continue
+		}
+		reading.Go(func() { readAnswers(l, c, n) })
 	}
 	time.Sleep(leaveAfter)
 	left := l.now()
@@ -49,7 +64,7 @@
 		l.note("the clients close their connections")
 	} else {
 		for _, c := range conns {
-			readAnswers(l, c)
+			readAnswers(l, c, pipelined)
 		}
 	}
 	time.Sleep(leaveWork + time.Second)
@@ -57,13 +72,13 @@
 }
 
 // pipeline sends requests on one connection without waiting for answers.
-func (l *lab) pipeline(m *machine, client int) (net.Conn, error) {
+func (l *lab) pipeline(m *machine, client, count int) (net.Conn, error) {
 	c, err := net.Dial("tcp", m.outbound)
 	if err != nil {
 		return nil, err
 	}
 	w := bufio.NewWriter(c)
-	for i := range pipelined {
+	for i := range count {
 		id := fmt.Sprintf("%08x%08x", client+1, i+1)
 		_, _ = fmt.Fprintf(w, "GET %schart HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 5000\r\n\r\n", prefix, host, names["request"], id, names["deadline"])
 		l.note("request %s sent to %s", id, m.name)
@@ -71,11 +86,11 @@
 	return c, w.Flush()
 }
 
-func readAnswers(l *lab, c net.Conn) {
+func readAnswers(l *lab, c net.Conn, count int) {
 	defer func() { _ = c.Close() }()
 	r := bufio.NewReader(c)
 	_ = c.SetReadDeadline(time.Now().Add(2 * leaveWork))
-	for range pipelined {
+	for range count {
 		resp, err := http.ReadResponse(r, nil)
 		if err != nil {
 			l.note("no answer: %v", err)
@@ -92,6 +107,9 @@
 	for _, m := range l.machines {
 		for _, x := range m.endpoint.snapshot() {
 			l.noteAt(x.began, "request %s runs at %s until %.3f, dropped: %t", x.id, m.endpoint.id, x.ended.Seconds(), x.dropped)
+			if !isOfLeaver(x.id) {
+				continue
+			}
 			all++
 			if x.began > left+noticeTime {
 				late++
@@ -105,3 +123,9 @@
 	fmt.Printf("run %d, still at work %d, begun later %d\n", all, still, late)
 	return !trouble || float64(still) <= maxStillShare*float64(all)
 }
+
+// isOfLeaver reports whether the request is of one of the clients that leave.
+func isOfLeaver(id string) bool {
+	client, err := strconv.ParseInt(id[:8], 16, 64)
+	return err == nil && client <= leaveClients
+}
