uplink, serve: a reset that the write of the request receives ends an answer early

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got the part as the complete answer.

Cause: the kernel reports a reset once, to whichever call comes first. If the write of the request gets it (ECONNRESET), the next read returns 0 bytes, io.EOF, and a body that ends with its connection counts as whole. Both the upstream's client and net/http in package serve read and write at the same time.

Ruled out: bodies with a length or in chunks, which have an end of their own; short requests, whose write ends before an answer can be read; stores and the administration client, whose answers are JSON documents that end by themselves.

Change: package reset. Its Conn keeps the first error of a write. At the end of file it ends the write in progress, waits for it, and returns that error instead of io.EOF. EPIPE counts as orderly: the kernel reports it if a FIN came before the reset, so an early answer that is whole is delivered whatever follows its FIN.

--- /dev/null
+++ b/mesh/broken_answer_test.go
@@ -0,0 +1,109 @@
+package mesh_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/platform"
+	"github.com/smartystreets/goconvey/convey"
+)
+
+const (
+	// brokenRounds is the number of requests for each broken answer, from each of two callers.
+	brokenRounds = 8
+	// smallVM is the memory of the smallest VM of the deployments, in bytes.
+	smallVM = 184 << 20
+	// uploadBytes is more than the buffers of a connection hold.
+	uploadBytes = 8 << 20
+)
+
+// respondRaw passes the connection of a request to f, and closes it afterwards.
+func (u *upstream) respondRaw(w http.ResponseWriter, r *http.Request, f func(string, *net.TCPConn)) {
+	u.executions.Add(1)
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	f(r.Header.Get("Request-Id"), c.(*net.TCPConn))
+}
+
+// sendText returns a response that writes the text, in which ID stands for the request's id, and then calls end.
+func sendText(text string, end func(c *net.TCPConn)) func(string, *net.TCPConn) {
+	return func(id string, c *net.TCPConn) {
+		_, _ = io.WriteString(c, strings.ReplaceAll(text, "ID", id))
+		end(c)
+	}
+}
+
+func resetLater(c *net.TCPConn) {
+	time.Sleep(10 * time.Millisecond)
+	_ = c.SetLinger(0)
+	_ = c.Close()
+}
+
+// answersOf sends requests from a caller beside the upstream and from one at another node, and counts the statuses and bodies.
+func answersOf(f *fleet, name, body string) map[string]int {
+	counts := map[string]int{}
+	for i, m := range f.nodes {
+		for n := range brokenRounds {
+			status, text := m.send("POST", "/b/x", fmt.Sprintf("%s-%d-%d", name, i, n), body)
+			if status == http.StatusBadGateway && strings.Contains(text, `"kind":"upstream_broken"`) {
+				text = "refusal"
+			}
+			counts[fmt.Sprint(status, " ", text)]++
+		}
+	}
+	return counts
+}
+
+// longBodies allows uploads that are longer than the buffers of a connection.
+func longBodies(f *fleet) {
+	f.adjust = func(_ int, s *pomelo.HostSettings) { s.MemoryBytes = smallVM }
+}
+
+// newBrokenFleet returns a fleet of two nodes with one upstream, that of the first node.
+func newBrokenFleet(t *testing.T) *fleet {
+	f := newFleet(t, 2, longBodies)
+	text := strings.Replace(policyText, `"max_body_bytes":1048576`, `"max_body_bytes":16777216`, 1)
+	f.store.Put(platform.KeyPolicy, fmt.Appendf(nil, text, 2, key))
+	f.waitReady()
+	convey.So(f.nodes[1].heartbeat("draining", 1_000_000), convey.ShouldEqual, http.StatusOK)
+	only := func() bool { return len(f.nodes[0].node.Members().Serving("shop")) == 1 }
+	convey.So(eventually(only), convey.ShouldBeTrue)
+	return f
+}
+
+// checkBroken requires that no caller gets a broken answer, that the log names the reason, and that the upstream's next answers are delivered.
+func checkBroken(f *fleet, name, reason, body string, respond func(string, *net.TCPConn)) {
+	u := f.nodes[0].upstream
+	u.raw.Store(respond)
+	convey.So(answersOf(f, name, body), convey.ShouldResemble, map[string]int{"502 refusal": 2 * brokenRounds})
+	convey.So(eventually(func() bool {
+		for line := range strings.Lines(f.nodes[0].log.String()) {
+			if strings.Contains(line, "event=call_failed ") && strings.Contains(line, "request="+name+"-") && strings.Contains(line, reason) {
+				return true
+			}
+		}
+		return false
+	}), convey.ShouldBeTrue)
+	u.raw.Store((func(string, *net.TCPConn))(nil))
+	whole := fmt.Sprintf("200 POST /b/x account= origin=shop key= body=%d", len(body))
+	convey.So(answersOf(f, "after-"+name, body), convey.ShouldResemble, map[string]int{whole: 2 * brokenRounds})
+}
+
+// TestCutAnswer guards against MIXED: an early answer that is cut by a reset while the request is sent reaches the caller as a whole one.
+func TestCutAnswer(t *testing.T) {
+	convey.Convey("No caller gets an answer that a reset has cut while its upload was sent", t, func() {
+		f := newBrokenFleet(t)
+		upload := strings.Repeat("u", uploadBytes)
+		text := "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Seal: sealed\r\n\r\npart"
+		checkBroken(f, "cut", "connection reset", upload, sendText(text, resetLater))
+	})
+}
--- a/mesh/path_test.go
+++ b/mesh/path_test.go
@@ -66,6 +66,8 @@
 	arrivals   arrivals
 	// onArrival is a func() that is called with each request, if it is set.
 	onArrival atomic.Value
+	// raw is a func(id string, c *net.TCPConn) that responds to each request in place of the stand-in, before its body is read, if it is set.
+	raw atomic.Value
 	// limit is the text of the stated limit, or empty.
 	limit   atomic.Value
 	leaving atomic.Bool
@@ -96,6 +98,10 @@
 	if f, ok := u.onArrival.Load().(func()); ok {
 		f()
 	}
+	if f, _ := u.raw.Load().(func(string, *net.TCPConn)); f != nil {
+		u.respondRaw(w, r, f)
+		return
+	}
 	if v, _ := u.limit.Load().(string); v != "" {
 		w.Header().Set("Server-Limit", v)
 	}
--- a/serve/attempt.go
+++ b/serve/attempt.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+	"github.com/pomeloworks/pomelo/reset"
 )
 
 // upstreamConn counts the bytes written to the connection, and refuses writes once it is closed.
@@ -57,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &upstreamConn{Conn: conn}, nil
+	return &upstreamConn{Conn: reset.New(conn)}, nil
 }
 
 // attempt traces one request through net/http, to tell whether any of its bytes may have reached the upstream.
--- a/uplink/pool.go
+++ b/uplink/pool.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/reset"
 )
 
 // maxIdleConns limits the idle connections; further ones are closed after their call.
@@ -66,5 +67,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(c), nil
+	return newConn(reset.New(c)), nil
 }
