Responses with the status 000 are no answers

What callers saw: beside the platform, an upstream's answer with a status below 100 was skipped as an interim one. The caller got what followed it on the connection, a 200 or a statement that its request had not run, or waited until its deadline. Answers with a status of 600 or more were passed on. A node of `pomelo node` passed the status 000 on.

Cause: http.ReadResponse takes any three characters that are a number of 0 or more, and the loop over interim responses any status below 200. net/http does not check the range for clients. A 101 that nobody asked for leaves the connection to another protocol: in package serve its body has no end and does not heed the deadline.

Change: ValidateResponse in the root package refuses a version other than HTTP/1, a status outside 100 to 599 (RFC 9110, section 15) and 101. The upstream's client calls it for each head. Package strict does so for users of http.Transport (serve, kvhttp, client), the platform's store by itself, and dialer checks the status in the answers of peers of earlier versions. The connection is closed, and nothing is learned from the head, not even that the request has not run.

--- a/client/client.go
+++ b/client/client.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/strict"
 )
 
 // defaultTimeout is longer than a node needs for any answer, not counting the wait that a command requests.
@@ -27,13 +28,17 @@
 
 // New returns a Client for the administration listener at host:port.
 func New(address string, opts ...func(*Client)) *Client {
-	c := &Client{baseURL: "http://" + address, timeout: defaultTimeout, http: &http.Client{}}
+	c := &Client{baseURL: "http://" + address, timeout: defaultTimeout, http: newHTTPClient()}
 	for _, o := range opts {
 		o(c)
 	}
 	return c
 }
 
+func newHTTPClient() *http.Client {
+	return &http.Client{Transport: strict.New(http.DefaultTransport.(*http.Transport).Clone())}
+}
+
 // WithToken sets the operator's token that authorizes requests.
 func WithToken(token string) func(*Client) {
 	return func(c *Client) { c.token = token }
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -28,6 +28,16 @@
 	_, _ = w.Write([]byte(`{"id":"x","fault":{"kind":"conflict","message":"m","remedy":"r","ran":"no"}}`))
 }
 
+// answersStatus000 sends a refusal as JSON under a status that is none of HTTP.
+func answersStatus000(w http.ResponseWriter, _ *http.Request) {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = io.WriteString(c, "HTTP/1.1 000 Trouble\r\n\r\n"+`{"id":"x","fault":{"kind":"conflict","message":"m","remedy":"r","ran":"no"}}`)
+}
+
 func answersInvalidJSON(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("<html>")) }
 
 func TestLostAnswers(t *testing.T) {
@@ -41,6 +51,7 @@
 		{"without an answer a change is in doubt", neverAnswers, setA, pomelo.KindInDoubt, pomelo.RanUnknown},
 		{"after an aborted connection a change is in doubt", abortsConnection, setA, pomelo.KindInDoubt, pomelo.RanUnknown},
 		{"after an invalid answer a change is in doubt", answersInvalidJSON, setA, pomelo.KindInDoubt, pomelo.RanUnknown},
+		{"after an answer with the status 000 a change is in doubt", answersStatus000, setA, pomelo.KindInDoubt, pomelo.RanUnknown},
 		{"without an answer a show command fails", neverAnswers, "show nodes", pomelo.KindStoreUnavailable, pomelo.RanUnknown},
 		{"a refusal is returned", refuses, setA, pomelo.KindConflict, pomelo.RanNo},
 	}
--- a/dialer/send.go
+++ b/dialer/send.go
@@ -78,7 +78,19 @@
 		return a, errors.New("the answer belongs to another call")
 	}
 	a.Body = m.Body
-	return a, nil
+	return refuseInvalid(a), nil
+}
+
+// refuseInvalid replaces an answer whose head is not valid HTTP, as a node of an earlier version passes it on.
+func refuseInvalid(a pomelo.Answer) pomelo.Answer {
+	if a.Refusal != nil {
+		return a
+	}
+	if err := pomelo.ValidateStatus(a.Status); err != nil {
+		a.Refusal = pomelo.NewFault(pomelo.KindUpstreamFailed, "the upstream gave no whole answer: "+err.Error(), "repeat the request if it is idempotent")
+		a.Refusal.Ran = pomelo.RanUnknown
+	}
+	return a
 }
 
 // withGrace returns a context that ends answerGrace after the deadline of ctx, or at once when ctx is cancelled.
--- a/kvhttp/client.go
+++ b/kvhttp/client.go
@@ -9,6 +9,7 @@
 	"unicode/utf8"
 
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/strict"
 )
 
 const (
@@ -38,7 +39,7 @@
 	c := &Client{
 		base:    strings.TrimRight(url, "/"),
 		timeout: defaultTimeout,
-		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerHost}},
+		client:  &http.Client{Transport: strict.New(&http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerHost})},
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -54,7 +55,7 @@
 // WithMetrics counts the bytes sent and received as the metric "store.bytes".
 func WithMetrics(m pomelo.Metrics) func(*Client) {
 	return func(c *Client) {
-		c.client.Transport = &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerHost, DialContext: countingDialer(m)}
+		c.client.Transport = strict.New(&http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerHost, DialContext: countingDialer(m)})
 	}
 }
 
--- a/mesh/broken_answer_test.go
+++ b/mesh/broken_answer_test.go
@@ -107,3 +107,21 @@
 		checkBroken(f, "cut", "connection reset", upload, sendText(text, resetLater))
 	})
 }
+
+// closeLater leaves the caller time to take the text for more than it is.
+func closeLater(*net.TCPConn) { time.Sleep(100 * time.Millisecond) }
+
+// TestBadStatus guards against MIXED: an answer whose status is none of HTTP, or the bytes behind it, reach the caller.
+func TestBadStatus(t *testing.T) {
+	const proper = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Seal: sealed\r\nContent-Length: 2\r\n\r\nok"
+	const notRun = "HTTP/1.1 503 Full\r\nRequest-Id: ID\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	convey.Convey("No caller gets an answer whose status is none of HTTP, nor what follows it", t, func() {
+		f := newBrokenFleet(t)
+		for i, status := range []string{"000", "099", "600"} {
+			for j, next := range []string{proper, notRun, ""} {
+				text := "HTTP/1.1 " + status + " Trouble\r\nRequest-Id: ID\r\nServer-Seal: sealed\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n" + next
+				checkBroken(f, fmt.Sprintf("status-%d-%d", i, j), "status "+status, "order", sendText(text, closeLater))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/serve/bad_head_test.go
@@ -0,0 +1,39 @@
+package serve_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+
+	"github.com/pomeloworks/pomelo"
+	"github.com/smartystreets/goconvey/convey"
+)
+
+func TestBadHead(t *testing.T) {
+	for name, text := range map[string]string{
+		"the status 000":             "HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\nok",
+		"the status 000 and no body": "HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n",
+		"the status 600":             "HTTP/1.1 600 Trouble\r\nContent-Length: 2\r\n\r\nok",
+		"a switch of protocols":      "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n",
+	} {
+		convey.Convey("A response with "+name+" is no answer, and its connection is not used again", t, func() {
+			conns := 0
+			u := newScriptedUpstream(func(u *scriptedUpstream, n int, c net.Conn) {
+				conns = n + 1
+				for u.request(c) != nil {
+					_, _ = fmt.Fprint(c, text)
+				}
+			})
+			defer func() { _ = u.listener.Close() }()
+			s := newServer(u.listener.Addr().String())
+			for n := range 2 {
+				a := s.Handle(context.Background(), order(fmt.Sprint(n)))
+				convey.So(a.Refusal, convey.ShouldNotBeNil)
+				convey.So(a.Refusal.Kind, convey.ShouldEqual, pomelo.KindUpstreamFailed)
+				convey.So(a.Refusal.Ran, convey.ShouldEqual, pomelo.RanUnknown)
+				convey.So(conns, convey.ShouldEqual, n+1)
+			}
+		})
+	}
+}
--- a/serve/exchange.go
+++ b/serve/exchange.go
@@ -8,16 +8,17 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/strict"
 )
 
 func newClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: strict.New(&http.Transport{
 			DialContext:         dialUpstream,
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     idleConnTimeout.Duration(),
 			DisableCompression:  true,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- /dev/null
+++ b/strict/doc.go
@@ -0,0 +1,2 @@
+// Package strict refuses responses that net/http accepts although they are not valid HTTP.
+package strict
--- /dev/null
+++ b/uplink/bad_head_test.go
@@ -0,0 +1,106 @@
+package uplink_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/clock"
+	"github.com/pomeloworks/pomelo/metric"
+	"github.com/pomeloworks/pomelo/uplink"
+	"github.com/smartystreets/goconvey/convey"
+)
+
+// callTimeout is long enough that a call ends by it only if it waits for more bytes.
+const callTimeout = 400 * time.Millisecond
+
+type badHead struct{ name, text string }
+
+// badStatuses are heads whose status is none of HTTP, or none for a request without an upgrade.
+var badStatuses = []badHead{
+	{"the status 000", "HTTP/1.1 000 \r\nX-Id: 1\r\nX-Not-Run: 1\r\nContent-Length: 2\r\n\r\n"},
+	{"the status 000 without a reason", "HTTP/1.1 000\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\n"},
+	{"the status 000 and no body", "HTTP/1.1 000 Trouble\r\nX-Id: 1\r\nServer-Seal: sealed\r\n\r\n"},
+	{"the status 099", "HTTP/1.1 099 Trouble\r\nX-Id: 1\r\nX-Not-Run: 1\r\n\r\n"},
+	{"the status +20", "HTTP/1.1 +20 OK\r\nX-Id: 1\r\n\r\n"},
+	{"the status -00", "HTTP/1.1 -00 OK\r\nX-Id: 1\r\n\r\n"},
+	{"the status 600", "HTTP/1.1 600 Trouble\r\nX-Id: 1\r\nX-Not-Run: 1\r\nContent-Length: 2\r\n\r\n"},
+	{"the status 999", "HTTP/1.1 999 Trouble\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\n"},
+	{"the status 2x0", "HTTP/1.1 2x0 OK\r\nX-Id: 1\r\n\r\n"},
+	{"a switch of protocols", "HTTP/1.1 101 Switching Protocols\r\nX-Id: 1\r\nUpgrade: other\r\n\r\n"},
+}
+
+// before are what an upstream may send before a head.
+var before = []struct{ name, text string }{
+	{"", ""},
+	{" after an interim response", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	{" after a response to another call", response("2", "no")},
+}
+
+// following are what an upstream may send after a head.
+var following = []struct{ name, text string }{
+	{"silence", ""},
+	{"a body", "ok"},
+	{"a proper answer", response("1", "ok")},
+	{"a body and a proper answer", "ok" + response("1", "ok")},
+	{"a statement that it has not run the call", "HTTP/1.1 503 Full\r\nX-Id: 1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"},
+}
+
+// serveText answers the first request with a proper response, the second one with the text, and keeps the connection open.
+func serveText(t *testing.T, text string) *fakeServer {
+	return serve(t, func(c net.Conn, r *bufio.Reader, n int) {
+		if n > 1 {
+			respond(c, r, func(id string) string { return response(id, "ok") })
+			return
+		}
+		_, _ = io.WriteString(c, response(readID(r), "ok"))
+		readID(r)
+		_, _ = io.WriteString(c, text)
+		_, _ = io.Copy(io.Discard, r)
+	})
+}
+
+// checkBadHead requires that the second call of a connection is refused at once, that its response tells nothing, and that the connection is not used again.
+func checkBadHead(t *testing.T, text string) {
+	s := serveText(t, text)
+	cl := uplink.New(fakeDialect{}, clock.New(), metric.New())
+	responses, rejections := 0, 0
+	cl.OnResponse(func(pomelo.Instance, pomelo.ResponseInfo) { responses++ })
+	cl.OnRejected(func(pomelo.Call, pomelo.Exchange) { rejections++ })
+	do := func(id string) pomelo.Answer {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		return cl.Do(ctx, pomelo.Instance{Address: s.address}, call(id, "order"))
+	}
+	convey.So(do("0").Refusal, convey.ShouldBeNil)
+	a := do("1")
+	convey.So(a.Refusal, convey.ShouldNotBeNil)
+	convey.So(a.Refusal.Kind, convey.ShouldEqual, pomelo.KindUpstreamFailed)
+	convey.So(a.Refusal.Ran, convey.ShouldEqual, pomelo.RanUnknown)
+	convey.So(responses, convey.ShouldEqual, 1)
+	convey.So(rejections, convey.ShouldEqual, 0)
+	convey.So(s.conns.Load(), convey.ShouldEqual, 1)
+	convey.So(do("3").Refusal, convey.ShouldBeNil)
+	convey.So(s.conns.Load(), convey.ShouldEqual, 2)
+}
+
+func checkBadHeads(t *testing.T, heads []badHead) {
+	for _, h := range heads {
+		for _, b := range before {
+			for _, f := range following {
+				convey.Convey("A response with "+h.name+b.name+", followed by "+f.name+", is no answer and tells nothing", t, func() {
+					checkBadHead(t, b.text+h.text+f.text)
+				})
+			}
+		}
+	}
+}
+
+// TestBadStatus guards against MIXED: an answer whose status is none of HTTP is passed on, or skipped as an interim one.
+func TestBadStatus(t *testing.T) {
+	checkBadHeads(t, badStatuses)
+}
--- a/uplink/client.go
+++ b/uplink/client.go
@@ -222,6 +222,9 @@
 		if err != nil {
 			return nil, pomelo.ResponseInfo{}, err
 		}
+		if err := pomelo.ValidateResponse(resp); err != nil {
+			return nil, pomelo.ResponseInfo{}, err
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
