Responses with an odd byte in the name of a field are no answers

What callers saw: an upstream's answer with a blank in the name of a field was passed on. With "Content-Length : 2" the length was lost, and the caller got everything up to the end of the connection as the body. A line that begins with a blank was joined with the value before it, so that a proof of the upstream's reached the caller with "Content-Length: 2" behind it.

Cause: net/textproto takes names with blanks as they are, joins lines that begin with a blank, and http.ReadResponse does not look at the reason. Tabs, control bytes and bytes over 127 in names and control bytes in values were refused before.

Change: ValidateResponse checks names, values and the reason with golang.org/x/net/http/httpguts, which was an indirect dependency before. RFC 9112, section 5.2, lets a gateway refuse lines that begin with a blank: the input of the upstream's connection scans each head for them, and for that returns nothing beyond a head's end with it. Trailers are checked too. Health checks read their response in the same way, and dialer checks the headers in the answers of peers.

--- a/dialer/send.go
+++ b/dialer/send.go
@@ -86,7 +86,7 @@
 	if a.Refusal != nil {
 		return a
 	}
-	if err := pomelo.ValidateStatus(a.Status); err != nil {
+	if err := pomelo.ValidateHead(a.Status, a.Header); err != nil {
 		a.Refusal = pomelo.NewFault(pomelo.KindUpstreamFailed, "the upstream gave no whole answer: "+err.Error(), "repeat the request if it is idempotent")
 		a.Refusal.Ran = pomelo.RanUnknown
 	}
--- a/kvhttp/bad_head_test.go
+++ b/kvhttp/bad_head_test.go
@@ -37,7 +37,7 @@
 // TestBadHead guards against a store's response that is none: a conflict states that a write has not taken effect.
 func TestBadHead(t *testing.T) {
 	const fault = `{"kind":"conflict","message":"m","remedy":"r","ran":"no"}`
-	for _, head := range []string{"HTTP/1.1 000 Trouble\r\n\r\n", "HTTP/1.1 600 Trouble\r\n\r\n"} {
+	for _, head := range []string{"HTTP/1.1 000 Trouble\r\n\r\n", "HTTP/1.1 600 Trouble\r\n\r\n", "HTTP/1.1 409 Conflict\r\nX Y: 1\r\n\r\n"} {
 		convey.Convey("A response that begins with "+head[:12]+" leaves open whether a write took effect", t, func() {
 			url := serveRaw(t, head+fault, func(net.Conn) {})
 			_, err := kvhttp.New(url).Put(context.Background(), pomelo.Write{Key: "a"})
--- a/mesh/broken_answer_test.go
+++ b/mesh/broken_answer_test.go
@@ -125,3 +125,15 @@
 		}
 	})
 }
+
+// TestBadField guards against MIXED: an answer whose head is not valid HTTP reaches the caller, with a body that is not the upstream's.
+func TestBadField(t *testing.T) {
+	const proper = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Seal: sealed\r\nContent-Length: 2\r\n\r\nok"
+	convey.Convey("No caller gets an answer with an odd byte in the name of a field, nor what follows it", t, func() {
+		f := newBrokenFleet(t)
+		for i, field := range []string{"Content-Length : 2", "Content Length: 2", " Content-Length: 2", "X\tY: 1", "\x01X: 1", "X\x00: 1"} {
+			text := "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Seal: sealed\r\n" + field + "\r\n\r\nok" + proper
+			checkBroken(f, fmt.Sprint("field-", i), "no whole answer", "order", sendText(text, closeLater))
+		}
+	})
+}
--- a/response_head.go
+++ b/response_head.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // The range of status codes of HTTP (RFC 9110, section 15).
@@ -20,13 +21,31 @@
 	if r.StatusCode == http.StatusSwitchingProtocols {
 		return errors.New("the response switches protocols, and the request has not asked for it")
 	}
-	return ValidateStatus(r.StatusCode)
+	if !httpguts.ValidHeaderFieldValue(r.Status) {
+		return errors.Newf("the response's status line %.40q holds a control byte", r.Status)
+	}
+	return ValidateHead(r.StatusCode, r.Header)
 }
 
-// ValidateStatus returns an error if the status code is none of HTTP.
-func ValidateStatus(status int) error {
+// ValidateHead returns an error if the status code is none of HTTP, or a header is not valid.
+func ValidateHead(status int, h http.Header) error {
 	if status < minStatus || status > maxStatus {
 		return errors.Newf("the response's status %03d is not between %d and %d", status, minStatus, maxStatus)
 	}
+	return ValidateFields(h)
+}
+
+// ValidateFields returns an error if a field's name is not a token, or its value holds a control byte (RFC 9110, section 5).
+func ValidateFields(h http.Header) error {
+	for name, values := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Newf("the response has the field name %.40q, which is not a token", name)
+		}
+		for _, v := range values {
+			if !httpguts.ValidHeaderFieldValue(v) {
+				return errors.Newf("the response's field %s holds a control byte", name)
+			}
+		}
+	}
 	return nil
 }
--- a/serve/bad_head_test.go
+++ b/serve/bad_head_test.go
@@ -12,10 +12,13 @@
 
 func TestBadHead(t *testing.T) {
 	for name, text := range map[string]string{
-		"the status 000":             "HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\nok",
-		"the status 000 and no body": "HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n",
-		"the status 600":             "HTTP/1.1 600 Trouble\r\nContent-Length: 2\r\n\r\nok",
-		"a switch of protocols":      "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n",
+		"the status 000":                 "HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\nok",
+		"the status 000 and no body":     "HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n",
+		"the status 600":                 "HTTP/1.1 600 Trouble\r\nContent-Length: 2\r\n\r\nok",
+		"a blank in the name of a field": "HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 0\r\n\r\n",
+		"a blank before a colon":         "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok",
+		"a control byte in its reason":   "HTTP/1.1 200 O\x01K\r\nContent-Length: 2\r\n\r\nok",
+		"a switch of protocols":          "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n",
 	} {
 		convey.Convey("A response with "+name+" is no answer, and its connection is not used again", t, func() {
 			conns := 0
--- a/strict/transport_test.go
+++ b/strict/transport_test.go
@@ -66,6 +66,7 @@
 		"HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\nok",
 		"HTTP/1.1 600 Trouble\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX Y: 1\r\n\r\n",
 		"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n",
 	} {
 		convey.Convey("A response "+text[:12]+" is an error, and its connection is closed", t, func() {
--- a/uplink/bad_head_test.go
+++ b/uplink/bad_head_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -104,3 +105,71 @@
 func TestBadStatus(t *testing.T) {
 	checkBadHeads(t, badStatuses)
 }
+
+// badFields are heads in which one byte is not allowed where it stands.
+var badFields = []badHead{
+	{"a blank before a colon", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Not-Run: 1\r\nContent-Length : 2\r\n\r\n"},
+	{"a blank in a name", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX Y: 1\r\nContent-Length: 2\r\n\r\n"},
+	{"a blank in the name of its length", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Not-Run: 1\r\nContent Length: 2\r\n\r\n"},
+	{"a blank before the first name", "HTTP/1.1 200 OK\r\n X-Id: 1\r\nX-Not-Run: 1\r\nContent-Length: 2\r\n\r\n"},
+	{"a blank before a name", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nServer-Seal: sealed\r\n Content-Length: 2\r\nX-Not-Run: 1\r\n\r\n"},
+	{"a tab before a name", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nServer-Seal: sealed\r\n\tContent-Length: 2\r\nX-Not-Run: 1\r\n\r\n"},
+	{"a blank before the last name", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\nServer-Seal: sealed\r\n X: 1\r\n\r\n"},
+	{"a line of blanks", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n \r\n\r\n"},
+	{"a tab in a name", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Not-Run: 1\r\nX\tY: 1\r\nContent-Length: 2\r\n\r\n"},
+	{"a tab before a colon", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length\t: 2\r\n\r\n"},
+	{"a control byte before a name", "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\x01Content-Length: 2\r\n\r\n"},
+	{"a control byte in a name", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Not-Run: 1\r\nX\x00Y: 1\r\nContent-Length: 2\r\n\r\n"},
+	{"a control byte after a name", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length\x7f: 2\r\n\r\n"},
+	{"a carriage return in a name", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX\rY: 1\r\nContent-Length: 2\r\n\r\n"},
+	{"a byte over 127 in a name", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX\xe9: 1\r\nContent-Length: 2\r\n\r\n"},
+	{"a name without bytes", "HTTP/1.1 200 OK\r\nX-Id: 1\r\n: 1\r\nContent-Length: 2\r\n\r\n"},
+	{"a line without a colon", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Not-Run\r\nContent-Length: 2\r\n\r\n"},
+	{"a control byte in a value", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX: a\x00b\r\nContent-Length: 2\r\n\r\n"},
+	{"a control byte in its reason", "HTTP/1.1 200 O\x01K\r\nX-Id: 1\r\nX-Not-Run: 1\r\nContent-Length: 2\r\n\r\n"},
+	{"a blank in a name of an interim response", "HTTP/1.1 103 Early Hints\r\nContent-Length : 2\r\n\r\n"},
+	{"a blank before a colon in a head with line feeds only", "HTTP/1.1 200 OK\nX-Id: 1\nContent-Length : 2\n\n"},
+	{"a blank before a name in a head with line feeds only", "HTTP/1.1 200 OK\nX-Id: 1\nServer-Seal: sealed\n Content-Length: 2\n\n"},
+	{"a blank in a name behind a long value", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX: " + strings.Repeat("x", 10_000) + "\r\nContent-Length : 2\r\n\r\n"},
+	{"a blank before a name behind a long value", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX: " + strings.Repeat("x", 10_000) + "\r\n Content-Length: 2\r\n\r\n"},
+}
+
+// TestBadField guards against MIXED: a head that is not valid HTTP is passed on, or the length of its body is taken from what is left of it.
+func TestBadField(t *testing.T) {
+	checkBadHeads(t, badFields)
+}
+
+// TestBadTrailer checks the fields behind a body.
+func TestBadTrailer(t *testing.T) {
+	convey.Convey("A response with a blank in the name of a trailer is no answer", t, func() {
+		for _, trailer := range []string{"X Sum: 7", "X-Sum : 7"} {
+			s := serveText(t, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"+trailer+"\r\n\r\n")
+			cl := uplink.New(fakeDialect{}, clock.New(), metric.New())
+			convey.So(do(cl, s, "0").Refusal, convey.ShouldBeNil)
+			a := do(cl, s, "1")
+			convey.So(a.Refusal, convey.ShouldNotBeNil)
+			convey.So(a.Refusal.Ran, convey.ShouldEqual, pomelo.RanUnknown)
+		}
+	})
+}
+
+// TestHeadsOnKeptConnection checks that no byte behind a head is lost or read twice, however the bytes are cut into segments.
+func TestHeadsOnKeptConnection(t *testing.T) {
+	convey.Convey("Responses are read whole on one connection, whatever part of them arrives at a time", t, func() {
+		text := "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + response("2", "stray") + "HTTP/1.1 200 OK\nX-Id: 1\nContent-Length: 5\n\nwhole"
+		for step := range len(text) {
+			s := serve(t, func(c net.Conn, r *bufio.Reader, _ int) {
+				readID(r)
+				_, _ = io.WriteString(c, text[:step])
+				time.Sleep(time.Millisecond)
+				_, _ = io.WriteString(c, text[step:])
+				readID(r)
+			})
+			a := do(uplink.New(fakeDialect{}, clock.New(), metric.New()), s, "1")
+			if a.Refusal != nil || string(a.Body) != "whole" {
+				convey.So(a, convey.ShouldEqual, text[:step])
+			}
+		}
+		convey.So(text, convey.ShouldNotBeEmpty)
+	})
+}
--- a/uplink/client.go
+++ b/uplink/client.go
@@ -163,7 +163,7 @@
 		return pomelo.Refuse(e.call.ID, incompleteFault(ctx, err)), false
 	}
 	e.client.onResponse(e.upstream, info)
-	body, err := e.client.budget.ReadAll(resp.Body)
+	body, err := e.readBody(resp)
 	if info.NotRun {
 		e.client.onRejected(e.call, e.describe(resp, info))
 		return pomelo.Refuse(e.call.ID, notRunFault(info)), err == nil && !info.Unnamed && e.isReusable(resp) && e.conn.recordRejection(e.call.ID, e.call.Deadline, e.client.clock.Now())
@@ -175,6 +175,15 @@
 	return a, e.isReusable(resp)
 }
 
+// readBody reads the body with the fields behind it, which are not passed on.
+func (e *exchange) readBody(resp *http.Response) ([]byte, error) {
+	body, err := e.client.budget.ReadAll(resp.Body)
+	if err != nil {
+		return nil, err
+	}
+	return body, pomelo.ValidateFields(resp.Trailer)
+}
+
 // isReusable reports whether the request was sent completely, no other response arrived, and the upstream keeps the connection open.
 func (e *exchange) isReusable(resp *http.Response) bool {
 	select {
@@ -185,7 +194,7 @@
 	default:
 		return false
 	}
-	if resp.Close || e.unexpected || e.conn.reader.Buffered() > 0 {
+	if resp.Close || e.unexpected || e.conn.hasUnread() {
 		return false
 	}
 	e.conn.reusableUntil = e.client.clock.Now() + idleTimeout(resp.Header)
@@ -212,24 +221,16 @@
 // readResponse skips interim responses and responses to other calls.
 func (e *exchange) readResponse() (*http.Response, pomelo.ResponseInfo, error) {
 	r := &http.Request{Method: e.call.Method}
-	e.conn.input.remaining = maxHeadBytes
-	strayBytes := int64(maxStrayBytes)
+	headBytes, strayBytes := int64(maxHeadBytes), int64(maxStrayBytes)
 	for range maxResponses {
-		resp, err := http.ReadResponse(e.conn.reader, r)
-		if e.conn.input.exceeded {
-			return nil, pomelo.ResponseInfo{}, errHeadTooLarge
-		}
+		resp, left, err := e.conn.readHead(r, headBytes)
 		if err != nil {
 			return nil, pomelo.ResponseInfo{}, err
 		}
-		if err := pomelo.ValidateResponse(resp); err != nil {
-			return nil, pomelo.ResponseInfo{}, err
-		}
+		headBytes = left
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		headBytes := e.conn.input.remaining
-		e.conn.input.remaining = unlimited
 		info := e.client.dialect.DecodeResponse(e.call, resp.StatusCode, resp.Header)
 		if e.belongs(info) {
 			return resp, info, nil
@@ -244,7 +245,6 @@
 		if strayBytes -= n; strayBytes < 0 {
 			return nil, info, errors.New("the upstream's answers to other calls are too long")
 		}
-		e.conn.input.remaining = headBytes
 	}
 	return nil, pomelo.ResponseInfo{}, errors.New("the upstream answered only other calls")
 }
--- a/uplink/conn.go
+++ b/uplink/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"maps"
 	"net"
+	"net/http"
 	"syscall"
 
 	"github.com/pomeloworks/pomelo"
@@ -18,7 +19,7 @@
 // conn is one persistent connection; it carries one call at a time.
 type conn struct {
 	net.Conn
-	input  *limitedInput
+	input  *input
 	reader *bufio.Reader
 	// reusableUntil is the time from which the upstream may close the connection as idle.
 	reusableUntil pomelo.Millis
@@ -29,8 +30,31 @@
 }
 
 func newConn(c net.Conn) *conn {
-	l := &limitedInput{Reader: c, remaining: unlimited}
-	return &conn{Conn: c, input: l, reader: bufio.NewReaderSize(l, bufferBytes)}
+	p := &input{source: c, remaining: unlimited}
+	return &conn{Conn: c, input: p, reader: bufio.NewReaderSize(p, bufferBytes)}
+}
+
+// readHead reads the next response's head, of at most limit bytes, and returns how many of them are left; the body is not limited. After an error the connection can't be used again.
+func (c *conn) readHead(r *http.Request, limit int64) (*http.Response, int64, error) {
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.input.startHead(buffered)
+	c.reader.Reset(c.input)
+	c.input.remaining = limit
+	resp, err := http.ReadResponse(c.reader, r)
+	if c.input.exceeded {
+		return nil, 0, errHeadTooLarge
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	left := c.input.remaining
+	c.input.remaining = unlimited
+	return resp, left, pomelo.ValidateResponse(resp)
+}
+
+// hasUnread reports whether bytes beyond the last response have been read.
+func (c *conn) hasUnread() bool {
+	return c.reader.Buffered() > 0 || len(c.input.rest) > 0
 }
 
 // recordRejection notes a call that must not be sent again on this connection, and reports whether there was room for it: calls that are past their deadline give way.
@@ -56,7 +80,7 @@
 
 // hasNoInput reports whether nothing has arrived since the last response, neither bytes nor the connection's end.
 func (c *conn) hasNoInput() bool {
-	if c.reader.Buffered() > 0 {
+	if c.hasUnread() {
 		return false
 	}
 	s, ok := c.Conn.(syscall.Conn)
--- a/uplink/health.go
+++ b/uplink/health.go
@@ -29,8 +29,7 @@
 	if err := r.Write(conn); err != nil {
 		return pomelo.ResponseInfo{}, errors.Wrap(err, "send the health check")
 	}
-	conn.input.remaining = maxHeadBytes
-	resp, err := http.ReadResponse(conn.reader, r)
+	resp, _, err := conn.readHead(r, maxHeadBytes)
 	if err != nil {
 		return pomelo.ResponseInfo{}, errors.Wrap(err, "read the response to the health check")
 	}
