serve, kvhttp, client: responses without an end are given up

What callers saw: an upstream of `pomelo node` that sends heads without an end takes the node out of memory, and with it the requests of all its callers; a store or a node that sends a body without an end does the same to those that ask it.

Cause: net/http reads heads of up to 10 MiB, for each response and twice that in memory, and bodies without a limit.

Change: package strict limits heads to 64 KiB and bodies by http.MaxBytesReader, to the node's body limit in serve and to 16 MiB in kvhttp and client. A write or change whose response is over the limit may have taken effect, as before for a lost response.

New is mesh TestEndlessAnswers: while 16 callers get answers without an end, 16 others at the same two nodes get theirs.

--- a/mesh/broken_answer_test.go
+++ b/mesh/broken_answer_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -137,3 +139,96 @@
 		}
 	})
 }
+
+const (
+	// endlessCallers is the number of callers that get answers without an end, and that of the others beside them.
+	endlessCallers = 16
+	// endlessRounds is the number of requests of each caller.
+	endlessRounds = 2
+)
+
+// TestEndlessAnswers shows that an upstream whose answers have no end ends no request of the other callers at its node.
+func TestEndlessAnswers(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Seal: sealed\r\n"
+	for name, text := range map[string][2]string{
+		"a header line":           {head + "X: ", "y"},
+		"header lines":            {head, "X: y\r\n"},
+		"interim answers":         {"", "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n"},
+		"a body":                  {head + "\r\n", "x"},
+		"chunks":                  {head + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
+		"bytes that are no HTTP":  {"\x00\x01", "\x02"},
+		"a body that was refused": {strings.Replace(head, "200 OK", "503 Full", 1) + "Not-Executed: 1\r\n\r\n", "x"},
+	} {
+		convey.Convey("While an upstream sends "+name+" without an end, the other callers at its node get their answers", t, func() {
+			f := newBrokenFleet(t)
+			block := []byte(strings.Repeat(text[1], 64<<10/len(text[1])))
+			f.nodes[0].upstream.raw.Store(func(id string, c *net.TCPConn) {
+				if !strings.HasPrefix(id, "endless") {
+					_, _ = io.WriteString(c, strings.ReplaceAll(head, "ID", id)+"Content-Length: 2\r\n\r\nok")
+					return
+				}
+				_, err := io.WriteString(c, strings.ReplaceAll(text[0], "ID", id))
+				for err == nil {
+					_, err = c.Write(block)
+				}
+			})
+			done := make(chan struct{})
+			var callers sync.WaitGroup
+			statuses, answers := make(chan int, endlessCallers*endlessRounds), make(chan string, endlessCallers*endlessRounds)
+			for i := range endlessCallers {
+				m := f.nodes[i%2]
+				callers.Go(func() {
+					for n := range endlessRounds {
+						status, _ := m.send("POST", "/b/x", fmt.Sprintf("endless-%d-%d", i, n), "order")
+						statuses <- status
+					}
+				})
+				callers.Go(func() {
+					for n := range endlessRounds {
+						answers <- m.sendUntilRun(fmt.Sprintf("proper-%d-%d", i, n))
+					}
+				})
+			}
+			go func() { callers.Wait(); close(done) }()
+			peak := peakHeap(done)
+			close(statuses)
+			close(answers)
+			for status := range statuses {
+				convey.So(status, convey.ShouldBeIn, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout)
+			}
+			for a := range answers {
+				convey.So(a, convey.ShouldEqual, "200 ok")
+			}
+			convey.So(peak, convey.ShouldBeLessThan, smallVM)
+			t.Logf("%s: peak heap %d MB", name, peak>>20)
+		})
+	}
+}
+
+// sendUntilRun sends an order, again while the node refuses it as not run, and returns its status and body.
+func (m *member) sendUntilRun(id string) string {
+	answer := ""
+	attempt := 0
+	eventually(func() bool {
+		attempt++
+		status, body := m.send("POST", "/b/x", fmt.Sprint(id, "-", attempt), "order")
+		answer = fmt.Sprint(status, " ", body)
+		return status != http.StatusServiceUnavailable
+	})
+	return answer
+}
+
+// peakHeap samples the heap until done is closed, and returns the highest value in bytes.
+func peakHeap(done <-chan struct{}) uint64 {
+	peak := uint64(0)
+	for {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		peak = max(peak, m.HeapInuse)
+		select {
+		case <-done:
+			return peak
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
--- a/serve/bad_head_test.go
+++ b/serve/bad_head_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 
 	"github.com/pomeloworks/pomelo"
@@ -21,9 +22,9 @@
 		"a switch of protocols":          "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n",
 	} {
 		convey.Convey("A response with "+name+" is no answer, and its connection is not used again", t, func() {
-			conns := 0
-			u := newScriptedUpstream(func(u *scriptedUpstream, n int, c net.Conn) {
-				conns = n + 1
+			var conns atomic.Int64
+			u := newScriptedUpstream(func(u *scriptedUpstream, _ int, c net.Conn) {
+				conns.Add(1)
 				for u.request(c) != nil {
 					_, _ = fmt.Fprint(c, text)
 				}
@@ -35,7 +36,7 @@
 				convey.So(a.Refusal, convey.ShouldNotBeNil)
 				convey.So(a.Refusal.Kind, convey.ShouldEqual, pomelo.KindUpstreamFailed)
 				convey.So(a.Refusal.Ran, convey.ShouldEqual, pomelo.RanUnknown)
-				convey.So(conns, convey.ShouldEqual, n+1)
+				convey.So(conns.Load(), convey.ShouldEqual, n+1)
 			}
 		})
 	}
--- a/serve/exchange.go
+++ b/serve/exchange.go
@@ -11,14 +11,14 @@
 	"github.com/pomeloworks/pomelo/strict"
 )
 
-func newClient() *http.Client {
+func newClient(bodyLimit int64) *http.Client {
 	return &http.Client{
 		Transport: strict.New(&http.Transport{
 			DialContext:         dialUpstream,
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     idleConnTimeout.Duration(),
 			DisableCompression:  true,
-		}),
+		}, strict.WithBodyLimit(bodyLimit)),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -47,13 +47,14 @@
 	if id := resp.Header.Get(headerCallID); id != "" && id != c.ID {
 		return pomelo.Answer{}, upstreamFault("the upstream answered another request", pomelo.RanUnknown)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(s.bodyLimit)+1))
+	body, err := io.ReadAll(resp.Body)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return pomelo.Answer{}, upstreamFault("the upstream's answer is over the body limit", pomelo.RanYes)
+	}
 	if err != nil {
 		return pomelo.Answer{}, truncatedFault(ctx, err)
 	}
-	if len(body) > s.bodyLimit {
-		return pomelo.Answer{}, upstreamFault("the upstream's answer is over the body limit", pomelo.RanYes)
-	}
 	return pomelo.Answer{
 		CallID: c.ID,
 		Status: resp.StatusCode,
--- a/serve/server.go
+++ b/serve/server.go
@@ -47,7 +47,7 @@
 	for _, o := range opts {
 		o(s)
 	}
-	s.client = newClient()
+	s.client = newClient(int64(s.bodyLimit))
 	return s
 }
 
--- a/strict/transport.go
+++ b/strict/transport.go
@@ -7,16 +7,33 @@
 	"github.com/pomeloworks/pomelo"
 )
 
-// Transport is an http.RoundTripper that returns only responses whose head is valid.
+// Limits in bytes; net/http has a limit of 10 MiB for heads and none for bodies.
+const (
+	maxHeadBytes     = 64 << 10
+	defaultBodyBytes = 16 << 20
+)
+
+// Transport is an http.RoundTripper that returns only responses whose head is valid, and limits their size.
 type Transport struct {
-	next *http.Transport
+	next      *http.Transport
+	bodyBytes int64
 }
 
 var _ http.RoundTripper = (*Transport)(nil)
 
-// New returns a Transport over next.
-func New(next *http.Transport) *Transport {
-	return &Transport{next: next}
+// New returns a Transport over next, whose limit for heads it sets; the default limit for bodies is 16 MiB.
+func New(next *http.Transport, opts ...func(*Transport)) *Transport {
+	next.MaxResponseHeaderBytes = maxHeadBytes
+	t := &Transport{next: next, bodyBytes: defaultBodyBytes}
+	for _, o := range opts {
+		o(t)
+	}
+	return t
+}
+
+// WithBodyLimit sets the number of bytes of a body after which reading it returns *http.MaxBytesError.
+func WithBodyLimit(n int64) func(*Transport) {
+	return func(t *Transport) { t.bodyBytes = n }
 }
 
 // RoundTrip implements http.RoundTripper; a request whose response has an invalid head may have run.
@@ -31,5 +48,6 @@
 		t.next.CloseIdleConnections()
 		return nil, errors.Wrap(err, "invalid response")
 	}
+	resp.Body = http.MaxBytesReader(nil, resp.Body, t.bodyBytes)
 	return resp, nil
 }
--- a/strict/transport_test.go
+++ b/strict/transport_test.go
@@ -5,9 +5,11 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/pomeloworks/pomelo/strict"
 	"github.com/smartystreets/goconvey/convey"
 )
@@ -80,3 +82,24 @@
 		})
 	}
 }
+
+func TestBodyLimit(t *testing.T) {
+	convey.Convey("A body over the limit is an error after the limit, and one of its length is not", t, func() {
+		s := newRawServer(t, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
+		for limit, want := range map[int64]string{4: "whol", 5: "whole"} {
+			c := http.Client{Transport: strict.New(&http.Transport{}, strict.WithBodyLimit(limit))}
+			resp, err := c.Get(s.url)
+			convey.So(err, convey.ShouldBeNil)
+			b, err := io.ReadAll(resp.Body)
+			convey.So(string(b), convey.ShouldEqual, want)
+			var tooLarge *http.MaxBytesError
+			convey.So(errors.As(err, &tooLarge), convey.ShouldEqual, limit == 4)
+		}
+	})
+	convey.Convey("A head over its limit is an error", t, func() {
+		s := newRawServer(t, "HTTP/1.1 200 OK\r\nX: "+strings.Repeat("y", 1<<20)+"\r\nContent-Length: 0\r\n\r\n")
+		c := http.Client{Transport: strict.New(&http.Transport{})}
+		_, err := c.Get(s.url)
+		convey.So(err, convey.ShouldNotBeNil)
+	})
+}
