platform: responses of the store without an end are bounded together

What callers saw: nothing yet. A store in trouble that sends bodies without an end to all calls of a node, or listing pages that always announce another one, takes the node out of memory, and with it the requests of its callers.

Cause: each body was limited to 8 MiB, with no limit for several at once, and io.ReadAll holds more than that while it grows. List followed has_more without a limit, also if the next page was the same.

Change: the sidecar reads the store's bodies within a budget of 16 MiB that all calls share (package budget, passed in as pomelo.BodyReader), and each within 8 MiB as before.

--- a/cmd/pomelo/cmd_sidecar.go
+++ b/cmd/pomelo/cmd_sidecar.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/budget"
 	"github.com/pomeloworks/pomelo/clock"
 	"github.com/pomeloworks/pomelo/mesh"
 	"github.com/pomeloworks/pomelo/metric"
@@ -23,6 +24,8 @@
 	memoryLimitShare = 0.6
 	// gcPercent is the maximum growth, in percent, of the heap between two garbage collections. Go collects at the earliest at 4 MB times this share: above 100 the garbage of a small node takes more memory than its state.
 	gcPercent = 100
+	// storeBodyBytes is the memory for the bodies of the store's responses, in bytes, of which each may use a half.
+	storeBodyBytes = 16 << 20
 )
 
 func cmdSidecar() command {
@@ -68,7 +71,7 @@
 
 func platformHost(s pomelo.HostSettings, metrics pomelo.Metrics) mesh.Host {
 	return mesh.Host{
-		Store:            platform.NewStore(s.StoreURL, metrics),
+		Store:            platform.NewStore(s.StoreURL, metrics, platform.WithBodies(budget.New(storeBodyBytes))),
 		Dialect:          platform.NewDialect(),
 		PolicyKey:        platform.KeyPolicy,
 		EvacuationPrefix: platform.PrefixEvacuation,
