uplink: a health check whose response has no orderly end states nothing

What callers saw: nothing yet. A response to a health check whose body was cut, reset or had no end counted as the state of the upstream, which decides how many calls a cold upstream gets.

Cause: the error of reading the body was dropped.

Change: CheckHealth returns it; bodies over 64 KiB, which were cut there before, are an error too.

Evidence, on: uplink TestCutHealth failed in 4 of 5 cases (cut, cut in a chunk, reset, without an end), and passes now.

--- a/uplink/bad_health_test.go
+++ b/uplink/bad_health_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/pomeloworks/pomelo"
 	"github.com/pomeloworks/pomelo/clock"
@@ -43,3 +45,28 @@
 		convey.So(checkHealth(t, "HTTP/1.1 200 OK\r\nX-Id: i\r\n\r\nhealthy", func(net.Conn) {}), convey.ShouldBeNil)
 	})
 }
+
+// TestCutHealth guards against a health check that takes a response for the state of its upstream before its end was seen.
+func TestCutHealth(t *testing.T) {
+	endless := func(c net.Conn) {
+		block := bytes.Repeat([]byte("x"), 64<<10)
+		for err := error(nil); err == nil; {
+			_, err = c.Write(block)
+		}
+	}
+	resetLater := func(c net.Conn) { time.Sleep(settle); reset(c) }
+	for name, r := range map[string]struct {
+		text string
+		end  func(net.Conn)
+	}{
+		"is cut":                 {"HTTP/1.1 200 OK\r\nX-Id: i\r\nContent-Length: 20\r\n\r\nhealthy", func(net.Conn) {}},
+		"is cut in a chunk":      {"HTTP/1.1 200 OK\r\nX-Id: i\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nhealthy\r\n", func(net.Conn) {}},
+		"ends with a reset":      {"HTTP/1.1 200 OK\r\nX-Id: i\r\n\r\nhealthy", resetLater},
+		"has no end":             {"HTTP/1.1 200 OK\r\nX-Id: i\r\n\r\n", endless},
+		"has a head without end": {"HTTP/1.1 200 OK\r\nX-Id: i\r\nX: ", endless},
+	} {
+		convey.Convey("A response to a health check that "+name+" states nothing", t, func() {
+			convey.So(checkHealth(t, r.text, r.end), convey.ShouldNotBeNil)
+		})
+	}
+}
--- a/uplink/health.go
+++ b/uplink/health.go
@@ -33,9 +33,10 @@
 	if err != nil {
 		return pomelo.ResponseInfo{}, errors.Wrap(err, "read the response to the health check")
 	}
-	// The body is read so that the upstream can end its response; it says nothing.
-	conn.input.remaining = maxHealthBytes
-	_, _ = io.Copy(io.Discard, resp.Body)
+	// The body says nothing, but a response without its end is none.
+	if _, err := io.Copy(io.Discard, http.MaxBytesReader(nil, resp.Body, maxHealthBytes)); err != nil {
+		return pomelo.ResponseInfo{}, errors.Wrap(err, "read the body of the response to the health check")
+	}
 	info, ok := cl.dialect.DecodeHealth(u.ID, resp.StatusCode, resp.Header)
 	if !ok {
 		return info, errors.Newf("status %d of another upstream, or without its warm-up", resp.StatusCode)
