fakeup: a fault that sends given bytes in place of the answer

Cause: the answers of `pomelo node` were played at the upstream's socket only (serve TestBadHead), not from a caller's side through whole nodes.

Change: the fault raw_answer of the stand-in, and four rows of fleet TestFaultTable: the status 000 and a blank in the name of a field, at both upstreams of a service and at one of them.

Where one of two upstreams answers properly, callers get its answers.

--- a/fake_upstream.go
+++ b/fake_upstream.go
@@ -76,6 +76,8 @@
 	NeverRespond bool    `json:"never_answer,omitempty"`
 	// TruncateResponse closes the connection in the middle of the body.
 	TruncateResponse bool `json:"half_answer,omitempty"`
+	// RawResponse is sent in place of each finished answer, and then the connection is closed.
+	RawResponse string `json:"raw_answer,omitempty"`
 	// ResponseDelay delays each finished answer, in milliseconds.
 	ResponseDelay Millis `json:"late_ms,omitempty"`
 	// WrongID answers with the ids of another request.
--- a/fakeup/execution.go
+++ b/fakeup/execution.go
@@ -137,6 +137,10 @@
 	if r.status == 0 || c.Request.Context().Err() != nil {
 		panic(http.ErrAbortHandler)
 	}
+	if x.fault.RawResponse != "" {
+		x.sendRaw(c)
+		return
+	}
 	if x.fault.WrongID {
 		r = x.corruptIDs(r)
 	}
@@ -158,6 +162,16 @@
 	_, _ = c.Writer.Write(body)
 }
 
+// sendRaw sends bytes that need not be HTTP.
+func (x *execution) sendRaw(c *gin.Context) {
+	conn, _, err := c.Writer.Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, x.fault.RawResponse)
+}
+
 func (x *execution) corruptIDs(r reply) reply {
 	x.event.CallID = wrongPrefix + x.event.CallID
 	if a, ok := r.body.(pomelo.FakeAnswer); ok {
--- a/fleet/fault_test.go
+++ b/fleet/fault_test.go
@@ -51,6 +51,12 @@
 	complete      string
 }
 
+// Responses that are not valid HTTP.
+const (
+	status000   = "HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\n{}"
+	blankInName = "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{}"
+)
+
 // How many of a case's responses have to be complete.
 const (
 	completeAll  = "all"
@@ -71,6 +77,10 @@
 	{"one of two responds to other requests", pomelo.FakeUpstream{}, pomelo.FakeFault{WrongID: true}, false, longTimeout, completeSome},
 	{"truncated responses", pomelo.FakeUpstream{}, pomelo.FakeFault{TruncateResponse: true}, true, longTimeout, completeNone},
 	{"one of two truncates responses", pomelo.FakeUpstream{}, pomelo.FakeFault{TruncateResponse: true}, false, longTimeout, completeSome},
+	{"responses with the status 000", pomelo.FakeUpstream{}, pomelo.FakeFault{RawResponse: status000}, true, longTimeout, completeNone},
+	{"one of two responds with the status 000", pomelo.FakeUpstream{}, pomelo.FakeFault{RawResponse: status000}, false, longTimeout, completeSome},
+	{"responses with a blank in the name of a field", pomelo.FakeUpstream{}, pomelo.FakeFault{RawResponse: blankInName}, true, longTimeout, completeNone},
+	{"one of two responds with a blank in the name of a field", pomelo.FakeUpstream{}, pomelo.FakeFault{RawResponse: blankInName}, false, longTimeout, completeSome},
 	{"dead", pomelo.FakeUpstream{}, pomelo.FakeFault{Down: true}, true, longTimeout, completeNone},
 }
 
