serve: the log names the reason why a call failed at its upstream

Cause: of a broken answer a node of `pomelo node` kept the kind of the refusal as a metric; the reason reached the caller only.

Result: serve TestBadHead finds the event for each of its broken answers; the event is new.

--- a/serve/bad_head_test.go
+++ b/serve/bad_head_test.go
@@ -8,6 +8,9 @@
 	"testing"
 
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/logs"
+	"github.com/pomeloworks/pomelo/membuf"
+	"github.com/pomeloworks/pomelo/serve"
 	"github.com/smartystreets/goconvey/convey"
 )
 
@@ -30,13 +33,16 @@
 				}
 			})
 			defer func() { _ = u.listener.Close() }()
-			s := newServer(u.listener.Addr().String())
+			log := &membuf.Buffer{}
+			s := newServer(u.listener.Addr().String(), serve.WithLog(logs.New(log)))
 			for n := range 2 {
 				a := s.Handle(context.Background(), order(fmt.Sprint(n)))
 				convey.So(a.Refusal, convey.ShouldNotBeNil)
 				convey.So(a.Refusal.Kind, convey.ShouldEqual, pomelo.KindUpstreamFailed)
 				convey.So(a.Refusal.Ran, convey.ShouldEqual, pomelo.RanUnknown)
 				convey.So(conns.Load(), convey.ShouldEqual, n+1)
+				convey.So(log.String(), convey.ShouldContainSubstring, fmt.Sprintf("event=call_failed call=%d ", n))
+				convey.So(log.String(), convey.ShouldContainSubstring, "invalid response: the response")
 			}
 		})
 	}
--- a/serve/exchange_test.go
+++ b/serve/exchange_test.go
@@ -72,9 +72,10 @@
 
 type noConfig struct{ pomelo.Configuration }
 
-func newServer(address string) *serve.Server {
+func newServer(address string, opts ...func(*serve.Server)) *serve.Server {
 	c := clock.New()
-	s := serve.New(c, noConfig{}, fixed.New(c), ledger.New(c), metric.New(), serve.WithBodyLimit(64))
+	opts = append(opts, serve.WithBodyLimit(64))
+	s := serve.New(c, noConfig{}, fixed.New(c), ledger.New(c), metric.New(), opts...)
 	s.Announce(pomelo.Upstream{Service: "shop", Address: address, Slots: 8, Connections: 8})
 	return s
 }
--- a/serve/server.go
+++ b/serve/server.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
 
 	"github.com/pomeloworks/pomelo"
 	"github.com/pomeloworks/pomelo/ledger"
+	"github.com/pomeloworks/pomelo/logs"
 )
 
 const (
@@ -25,6 +27,7 @@
 	limiter   pomelo.ConcurrencyLimiter
 	ledger    *ledger.Ledger
 	metrics   pomelo.Metrics
+	log       pomelo.Logger
 	bodyLimit int
 	client    *http.Client
 	mu        sync.RWMutex
@@ -42,6 +45,7 @@
 		limiter:   limiter,
 		ledger:    l,
 		metrics:   metrics,
+		log:       logs.New(io.Discard),
 		bodyLimit: defaultBodyLimit,
 	}
 	for _, o := range opts {
@@ -56,6 +60,11 @@
 	return func(s *Server) { s.bodyLimit = n }
 }
 
+// WithLog logs each call that failed at the upstream.
+func WithLog(log pomelo.Logger) func(*Server) {
+	return func(s *Server) { s.log = log }
+}
+
 // Announce sets the upstream; the zero value removes it.
 func (s *Server) Announce(u pomelo.Upstream) {
 	s.mu.Lock()
@@ -135,6 +144,9 @@
 	ctx, cancel := context.WithTimeout(ctx, (c.Deadline - s.clock.Now()).Duration())
 	defer cancel()
 	a := s.exchange(ctx, c, u, token)
+	if a.Refusal != nil && a.Refusal.Kind == pomelo.KindUpstreamFailed {
+		s.log.Info("call_failed", "call", c.ID, "root", c.RootID, "service", c.Service, "kind", a.Refusal.Kind, "reason", a.Refusal.Message, "ran", a.Refusal.Ran)
+	}
 	// Checked before the record is closed: that cancels ctx, which would make every answer look late.
 	complete := s.isComplete(ctx, c, a)
 	summary := s.ledger.Close(token)
--- a/wiring/calls.go
+++ b/wiring/calls.go
@@ -37,8 +37,8 @@
 	return gate.New(c, gate.WithSettings(n.settings.Limits), gate.WithSeed(newSeed()))
 }
 
-func newServe(n *Node, c pomelo.Clock, v *config.View, w *health.Monitor, l *ledger.Ledger, m pomelo.Metrics) *serve.Server {
-	return serve.New(c, v, w, l, m, serve.WithBodyLimit(n.settings.Limits.BodyBytes))
+func newServe(n *Node, c pomelo.Clock, v *config.View, w *health.Monitor, l *ledger.Ledger, m pomelo.Metrics, log pomelo.Logger) *serve.Server {
+	return serve.New(c, v, w, l, m, serve.WithBodyLimit(n.settings.Limits.BodyBytes), serve.WithLog(log))
 }
 
 func newSender(n *Node, c pomelo.Clock, r *member.Registry, d *dialer.Pool, s *serve.Server, m pomelo.Metrics) *send.Sender {
