Reasons no longer repeat what was sent in place of a response

What callers saw: an upstream that answered with one invalid line of 60 kB gave them, as the message of a 502, a quoted copy of up to 240 kB, and each node on the way wrote as much to its log.

Cause: the errors of net/http and net/textproto quote the whole line, four bytes for each control byte.

Change: ErrorText in the root package takes the first 200 bytes, in uplink, health checks, serve, client and the clients of the stores.

--- a/client/client.go
+++ b/client/client.go
@@ -91,7 +91,7 @@
 
 // transportFault returns the fault for a failed round trip. Unless the connection could not be opened, it is unknown whether the command ran.
 func transportFault(err error) error {
-	f := pomelo.NewFault(pomelo.KindStoreUnavailable, err.Error(), "check -node, or ask another node")
+	f := pomelo.NewFault(pomelo.KindStoreUnavailable, pomelo.ErrorText(err), "check -node, or ask another node")
 	var op *net.OpError
 	if !errors.As(err, &op) || op.Op != "dial" {
 		f.Ran = pomelo.RanUnknown
--- a/kvhttp/bad_head_test.go
+++ b/kvhttp/bad_head_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/pomeloworks/pomelo"
@@ -45,3 +46,12 @@
 		})
 	}
 }
+
+func TestLongError(t *testing.T) {
+	convey.Convey("A response whose head is one long invalid line is refused for a short reason", t, func() {
+		url := serveRaw(t, "HTTP/1.1 200 OK\r\n"+strings.Repeat("\x00", 60_000)+": 1\r\n\r\n", func(net.Conn) {})
+		_, err := kvhttp.New(url).Get(context.Background(), "a")
+		shouldBeUnavailable(err, pomelo.RanNo)
+		convey.So(len(err.Error()), convey.ShouldBeLessThan, 512)
+	})
+}
--- a/kvhttp/request.go
+++ b/kvhttp/request.go
@@ -54,12 +54,12 @@
 	req.Header.Set("Content-Type", "application/json")
 	res, err := c.client.Do(req)
 	if err != nil {
-		return r.unavailableFault(err.Error())
+		return r.unavailableFault(pomelo.ErrorText(err))
 	}
 	defer func() { _ = res.Body.Close() }()
 	data, err := io.ReadAll(res.Body)
 	if err != nil {
-		return r.unavailableFault(err.Error())
+		return r.unavailableFault(pomelo.ErrorText(err))
 	}
 	return r.decodeResponse(res.StatusCode, data, into)
 }
--- a/serve/bad_head_test.go
+++ b/serve/bad_head_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -47,3 +48,17 @@
 		})
 	}
 }
+
+func TestLongError(t *testing.T) {
+	convey.Convey("A response whose head is one long invalid line is refused for a short reason", t, func() {
+		u := newScriptedUpstream(func(u *scriptedUpstream, _ int, c net.Conn) {
+			u.request(c)
+			_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\n"+strings.Repeat("\x00", 60_000)+": 1\r\n\r\n")
+		})
+		defer func() { _ = u.listener.Close() }()
+		a := newServer(u.listener.Addr().String()).Handle(context.Background(), order("1"))
+		convey.So(a.Refusal, convey.ShouldNotBeNil)
+		convey.So(a.Refusal.Ran, convey.ShouldEqual, pomelo.RanUnknown)
+		convey.So(len(a.Refusal.Message), convey.ShouldBeLessThan, 512)
+	})
+}
--- a/serve/exchange.go
+++ b/serve/exchange.go
@@ -96,7 +96,7 @@
 		return canceledFault(ctx, ran)
 	}
 	if maybeSent {
-		return upstreamFault("the upstream did not answer: "+err.Error(), ran)
+		return upstreamFault("the upstream did not answer: "+pomelo.ErrorText(err), ran)
 	}
 	return pomelo.NewFault(pomelo.KindNoUpstream, "the upstream takes no connections: "+err.Error(), "send the request to another upstream")
 }
@@ -106,7 +106,7 @@
 	if ctx.Err() != nil {
 		return canceledFault(ctx, pomelo.RanYes)
 	}
-	return upstreamFault("the upstream broke off its answer: "+err.Error(), pomelo.RanYes)
+	return upstreamFault("the upstream broke off its answer: "+pomelo.ErrorText(err), pomelo.RanYes)
 }
 
 func canceledFault(ctx context.Context, ran pomelo.Ran) *pomelo.Fault {
--- a/uplink/client.go
+++ b/uplink/client.go
@@ -314,7 +314,7 @@
 	if ctx.Err() != nil {
 		return contextFault(ctx, pomelo.RanUnknown)
 	}
-	f := pomelo.NewFault(pomelo.KindUpstreamFailed, "the upstream gave no whole answer: "+err.Error(), "repeat the request if it is idempotent")
+	f := pomelo.NewFault(pomelo.KindUpstreamFailed, "the upstream gave no whole answer: "+pomelo.ErrorText(err), "repeat the request if it is idempotent")
 	f.Ran = pomelo.RanUnknown
 	return f
 }
--- a/uplink/health.go
+++ b/uplink/health.go
@@ -31,11 +31,11 @@
 	}
 	resp, _, err := conn.readHead(r, maxHeadBytes)
 	if err != nil {
-		return pomelo.ResponseInfo{}, errors.Wrap(err, "read the response to the health check")
+		return pomelo.ResponseInfo{}, errors.Newf("read the response to the health check: %s", pomelo.ErrorText(err))
 	}
 	// The body says nothing, but a response without its end is none.
 	if _, err := io.Copy(io.Discard, http.MaxBytesReader(nil, resp.Body, maxHealthBytes)); err != nil {
-		return pomelo.ResponseInfo{}, errors.Wrap(err, "read the body of the response to the health check")
+		return pomelo.ResponseInfo{}, errors.Newf("read the body of the response to the health check: %s", pomelo.ErrorText(err))
 	}
 	info, ok := cl.dialect.DecodeHealth(u.ID, resp.StatusCode, resp.Header)
 	if !ok {
