--- a/uplink/endless_test.go
+++ b/uplink/endless_test.go
@@ -84,6 +84,29 @@
 	}
 }
 
+// TestEndlessDrip checks responses that are too slow for any limit of bytes.
+func TestEndlessDrip(t *testing.T) {
+	for _, s := range endlessSenders {
+		convey.Convey("A response that sends "+s.name+" without an end, a few bytes at a time, ends with the time for the call", t, func() {
+			u := serve(t, func(c net.Conn, r *bufio.Reader, _ int) {
+				readID(r)
+				_, err := io.WriteString(c, s.start)
+				for err == nil {
+					time.Sleep(30 * time.Millisecond)
+					_, err = io.WriteString(c, s.repeated)
+				}
+			})
+			cl := uplink.New(fakeDialect{}, clock.New(), metric.New())
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			defer cancel()
+			a := cl.Do(ctx, pomelo.Instance{Address: u.address}, call("1", "order"))
+			convey.So(a.Refusal, convey.ShouldNotBeNil)
+			convey.So(a.Refusal.Kind, convey.ShouldEqual, pomelo.KindDeadline)
+			convey.So(a.Refusal.Ran, convey.ShouldEqual, pomelo.RanUnknown)
+		})
+	}
+}
+
 func TestEndless(t *testing.T) {
 	for _, s := range endlessSenders {
 		convey.Convey("Upstreams that send "+s.name+" without an end are given up early, within the VM's memory, and the caller is told that the call may have run", t, func() {
