uplink: a response of HTTP/1.0 that names a transfer encoding is no answer

What callers saw: the chunks of such a response, with their lengths, as its body.

Cause: http.ReadResponse removes Transfer-Encoding from responses of HTTP/1.0 and takes the rest of the connection as the body. RFC 9112, section 6.1, requires that their end counts as unknown.

Change: the scan of each head sees the field, and the response is refused. TestResetWhileSending also cuts bodies with a length and in chunks, which were refused before too.

--- a/uplink/bad_head_test.go
+++ b/uplink/bad_head_test.go
@@ -134,6 +134,23 @@
 	{"a blank before a name behind a long value", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX: " + strings.Repeat("x", 10_000) + "\r\n Content-Length: 2\r\n\r\n"},
 }
 
+// TestEncodedHTTP10 guards against MIXED: the chunks of a response of HTTP/1.0, whose transfer encoding net/http removes, are passed on as its body.
+func TestEncodedHTTP10(t *testing.T) {
+	checkBadHeads(t, []badHead{
+		{"a transfer encoding and HTTP/1.0", "HTTP/1.0 200 OK\r\nX-Id: 1\r\nX-Not-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
+		{"a transfer encoding in small letters and HTTP/1.0", "HTTP/1.0 200 OK\ntransfer-encoding:chunked\nX-Id: 1\nContent-Length: 2\n\nok"},
+	})
+	convey.Convey("A response of HTTP/1.0 that its connection ends is delivered", t, func() {
+		s := serve(t, func(c net.Conn, r *bufio.Reader, _ int) {
+			readID(r)
+			_, _ = io.WriteString(c, "HTTP/1.0 200 OK\r\nX-Id: 1\r\nX-Transfer-Encoding: chunked\r\n\r\nok")
+		})
+		a := do(uplink.New(fakeDialect{}, clock.New(), metric.New()), s, "1")
+		convey.So(a.Refusal, convey.ShouldBeNil)
+		convey.So(string(a.Body), convey.ShouldEqual, "ok")
+	})
+}
+
 // TestBadField guards against MIXED: a head that is not valid HTTP is passed on, or the length of its body is taken from what is left of it.
 func TestBadField(t *testing.T) {
 	checkBadHeads(t, badFields)
--- a/uplink/conn.go
+++ b/uplink/conn.go
@@ -49,6 +49,9 @@
 	}
 	left := c.input.remaining
 	c.input.remaining = unlimited
+	if c.input.lines.isEncoded && !resp.ProtoAtLeast(1, 1) {
+		return nil, 0, errEncodedHTTP10
+	}
 	return resp, left, pomelo.ValidateResponse(resp)
 }
 
--- a/uplink/input.go
+++ b/uplink/input.go
@@ -11,8 +11,9 @@
 const unlimited = int64(1) << 62
 
 var (
-	errHeadTooLarge = errors.New("the head of the answer is over the limit")
-	errFoldedLine   = errors.New("a line of the head begins with a blank")
+	errHeadTooLarge  = errors.New("the head of the answer is over the limit")
+	errFoldedLine    = errors.New("a line of the head begins with a blank")
+	errEncodedHTTP10 = errors.New("a response of HTTP/1.0 names a transfer encoding")
 )
 
 // input returns errHeadTooLarge, and sets exceeded, once the remaining bytes have been read. It checks the lines of a head, of which it returns nothing beyond the end.
--- a/uplink/reset_test.go
+++ b/uplink/reset_test.go
@@ -40,12 +40,15 @@
 	}},
 }
 
-// cutTexts are the first parts of answers whose body ends with the connection.
+// cutTexts are the first parts of answers.
 var cutTexts = []struct{ name, text string }{
 	{"in its head", "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"},
 	{"before its body", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nServer-Seal: sealed\r\n\r\n"},
 	{"in its body", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nServer-Seal: sealed\r\n\r\npart"},
 	{"of HTTP/1.0 in its body", "HTTP/1.0 200 OK\r\nX-Id: 1\r\nServer-Seal: sealed\r\n\r\npart"},
+	{"in a body with a length", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\npart"},
+	{"in a chunk", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n9\r\npart"},
+	{"between two chunks", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"},
 	{"with a failure in its body", "HTTP/1.1 500 Failed\r\nX-Id: 1\r\nServer-Seal: sealed\r\n\r\npart"},
 }
 
