--- a/serve/reset_test.go
+++ b/serve/reset_test.go
@@ -25,6 +25,8 @@
 		_, _ = fmt.Fprint(c, text)
 		if fin {
 			_ = c.(*net.TCPConn).CloseWrite()
+			// net/http drops a response if the write of its request fails before its end was read.
+			time.Sleep(time.Second)
 		}
 		time.Sleep(10 * time.Millisecond)
 		_ = c.(*net.TCPConn).SetLinger(0)
