uplink: TestOddByteAnywhere uses a connection of its own for each call

The dump has the test waiting to hand the next text to the stand-in, which waits for a connection. The stand-in closes each connection after its text; after a delivered response the client kept the connection, and a call that met the close failed before the stand-in took its text. The product may fail such a call; the test waited for ever.

Change: a client for each call, closed after it. What the test requires is unchanged.

--- a/uplink/odd_byte_test.go
+++ b/uplink/odd_byte_test.go
@@ -69,11 +69,13 @@
 			readID(r)
 			_, _ = io.WriteString(c, <-texts)
 		})
-		cl := uplink.New(fakeDialect{}, clock.New(), metric.New())
 		var wrong []string
 		delivered, refused := 0, 0
 		check := func(text string) {
 			texts <- text
+			// A kept connection that the upstream is just closing would fail the call before the text is sent.
+			cl := uplink.New(fakeDialect{}, clock.New(), metric.New())
+			defer cl.Close()
 			a := do(cl, s, "1")
 			want, valid := bodyOf(text)
 			switch {
