--- a/cmd/pomelo/process_test.go
+++ b/cmd/pomelo/process_test.go
@@ -45,7 +45,12 @@
 }
 
 func spawn(t testing.TB, args ...string) *process {
-	p := &process{command: exec.Command(os.Args[0], args...), log: &membuf.Buffer{}, exited: make(chan struct{})}
+	return spawnProgram(t, os.Args[0], args...)
+}
+
+// spawnProgram starts a program that may be another build than the test's.
+func spawnProgram(t testing.TB, program string, args ...string) *process {
+	p := &process{command: exec.Command(program, args...), log: &membuf.Buffer{}, exited: make(chan struct{})}
 	p.command.Env = append(os.Environ(), reexecVariable+"=1")
 	p.command.Stderr = p.log
 	if err := p.command.Start(); err != nil {
@@ -89,6 +94,9 @@
 	nodes        map[string]*testNode
 	upstreams    map[string]string
 	storeProcess *process
+	// program is the path of the program that the nodes run, and limits are further lines of their settings.
+	program string
+	limits  string
 }
 
 type testNode struct {
@@ -100,7 +108,7 @@
 }
 
 func newTestFleet(t testing.TB) *testFleet {
-	f := &testFleet{t: t, dir: t.TempDir(), nodes: map[string]*testNode{}, upstreams: map[string]string{}}
+	f := &testFleet{t: t, dir: t.TempDir(), program: os.Args[0], nodes: map[string]*testNode{}, upstreams: map[string]string{}}
 	f.storeProcess = spawn(t, "fake", "store", "-address", "127.0.0.1:0")
 	f.store = f.storeProcess.findInLog(t, `fake store on http://(\S+)`)
 	if err := os.WriteFile(filepath.Join(f.dir, "token"), []byte(operatorToken+"\n"), 0o600); err != nil {
@@ -130,11 +138,11 @@
 token_hashes = %s
 [log]
 level = debug
-`, vm, f.store, operatorHash)
+%s`, vm, f.store, operatorHash, f.limits)
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
-	n.process = spawn(f.t, "node", "-settings", n.settings)
+	n.process = spawnProgram(f.t, f.program, "node", "-settings", n.settings)
 	n.caller = n.process.findInLog(f.t, `event=node_started .*caller=(\S+)`)
 	n.upstream = n.process.findInLog(f.t, `event=node_started .*upstream=(\S+)`)
 	n.admin = n.process.findInLog(f.t, `event=node_started .*admin=(\S+)`)
--- a/cmd/pomelo/site_test.go
+++ b/cmd/pomelo/site_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -95,9 +96,22 @@
 	troubles troubles
 	startAt  time.Time
 	// grace is the time between a planned stop's signal and the kill.
-	grace time.Duration
+	grace  time.Duration
+	limits siteLimits
+	// program is the path of the program that the nodes run.
+	program string
 }
 
+// siteLimits are the limits of each node's process and of what callers may send.
+type siteLimits struct {
+	memoryMB int
+	// maxFDs is the maximum number of descriptors; 0 leaves the setting out.
+	maxFDs  int
+	maxBody int
+}
+
+var defaultSiteLimits = siteLimits{memoryMB: 284, maxBody: 1 << 20}
+
 // siteNode is one VM: the node's process and its upstream.
 type siteNode struct {
 	site     *site
@@ -117,13 +131,22 @@
 }
 
 func newSite(t testing.TB, seed uint64, zones int, grace time.Duration) *site {
-	s := &site{t: t, dir: t.TempDir(), store: fake.New(), startAt: time.Now(), grace: grace}
+	program := *siteProgram
+	if program == "" {
+		program = os.Args[0]
+	}
+	return newLimitedSite(t, seed, zones, grace, defaultSiteLimits, program)
+}
+
+// newLimitedSite starts a site whose nodes run the program under the limits.
+func newLimitedSite(t testing.TB, seed uint64, zones int, grace time.Duration, limits siteLimits, program string) *site {
+	s := &site{t: t, dir: t.TempDir(), store: fake.New(), startAt: time.Now(), grace: grace, limits: limits, program: program}
 	s.orders.runs = map[string][]siteRun{}
 	s.troubles.init(seed)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go s.store.Run(ctx)
-	s.store.Put(platform.KeyPolicy, []byte(sitePolicy()))
+	s.store.Put(platform.KeyPolicy, []byte(sitePolicy(limits.maxBody)))
 	t.Cleanup(s.close)
 	for z := range zones {
 		for k, x := range siteServices {
@@ -135,7 +158,7 @@
 	return s
 }
 
-func sitePolicy() string {
+func sitePolicy(maxBody int) string {
 	var routes, services []string
 	for _, r := range siteRoutes {
 		routes = append(routes, fmt.Sprintf(`"r%s":{"host":%q,"path_prefix":%q,"route_type":%q,"timeout_ms":%d,"target_latency_ms":%d,"priority":%d,"service":%q,"attempts":2,"public":%t}`,
@@ -144,8 +167,8 @@
 	for _, x := range siteServices {
 		services = append(services, fmt.Sprintf(`%q:{"health_path":"/health","max_connections":694,"protocol":"h1","tls":false}`, x.name))
 	}
-	return fmt.Sprintf(`{"version":"r1","routes":{%s},"services":{%s},"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":15000},
-"tenants":{"kino":{"api_keys":[%q],"priority":1,"rate_per_s":2000,"burst":2000}}}`, strings.Join(routes, ","), strings.Join(services, ","), siteKey)
+	return fmt.Sprintf(`{"version":"r1","routes":{%s},"services":{%s},"limits":{"max_header_bytes":16384,"max_body_bytes":%d,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":{"kino":{"api_keys":[%q],"priority":1,"rate_per_s":2000,"burst":2000}}}`, strings.Join(routes, ","), strings.Join(services, ","), maxBody, siteKey)
 }
 
 // addNode adds a VM with an address of its own, so that its ports are the same as those of the others.
@@ -178,6 +201,7 @@
 	siteCallerPort  = 8548
 	siteReadyPort   = 8546
 	siteControlPort = 8540
+	siteMetricsPort = 9464
 )
 
 func (n *siteNode) writeSettings() {
@@ -187,7 +211,7 @@
 self.service=%s
 self.app_addr=%s
 self.bootstrap=%t
-self.limits.memory_mb=284
+self.limits.memory_mb=%d
 network.listen.outbound=%s
 network.listen.ready=%s
 network.listen.control=%s
@@ -200,8 +224,11 @@
 terms.bounds.grace_s=%d
 terms.bounds.retry_budget_ratio=0.2
 terms.bounds.budget_window_s=10
-`, n.vm, n.ip, n.zone, n.upstream.service.name, n.upstream.address(), n.first, n.address(siteCallerPort), n.address(siteReadyPort), n.address(siteControlPort),
+`, n.vm, n.ip, n.zone, n.upstream.service.name, n.upstream.address(), n.first, n.site.limits.memoryMB, n.address(siteCallerPort), n.address(siteReadyPort), n.address(siteControlPort),
 		sitePeerPort, n.zone, siteHeartbeat.Milliseconds(), n.storeURL, int(n.site.grace.Seconds()))
+	if n.site.limits.maxFDs > 0 {
+		text += fmt.Sprintf("self.limits.max_fds=%d\n", n.site.limits.maxFDs)
+	}
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		n.site.t.Error(err)
 	}
@@ -213,11 +240,7 @@
 	defer n.mu.Unlock()
 	n.writeSettings()
 	n.first = false
-	program := *siteProgram
-	if program == "" {
-		program = os.Args[0]
-	}
-	c := exec.Command(program, "sidecar", "-settings", n.settings, "-features", "relayed_watch")
+	c := exec.Command(n.site.program, "sidecar", "-settings", n.settings, "-metrics_port", strconv.Itoa(siteMetricsPort), "-features", "relayed_watch")
 	// The race detector otherwise sleeps for a second at the exit, beyond the grace period.
 	c.Env = append(os.Environ(), reexecVariable+"=1", "GORACE=atexit_sleep_ms=0")
 	log, err := os.OpenFile(n.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
--- a/cmd/pomelo/site_upstream_test.go
+++ b/cmd/pomelo/site_upstream_test.go
@@ -290,7 +290,16 @@
 	if ctx.Err() != nil {
 		return nil, true
 	}
-	return b.answer(id, status, "", fmt.Appendf(nil, "%s %s %d by %s", id, q.URL.Path, len(body), b.id)), true
+	return b.answer(id, status, "", padded(q, fmt.Appendf(nil, "%s %s %d by %s", id, q.URL.Path, len(body), b.id))), true
+}
+
+// padded extends the body of an answer to the length that the request names in bytes.
+func padded(q *http.Request, body []byte) []byte {
+	n, err := strconv.Atoi(q.URL.Query().Get("answer"))
+	if err != nil || n <= len(body) {
+		return body
+	}
+	return append(body, make([]byte, n-len(body))...)
 }
 
 // reject returns the response that states that the request has not run.
