One account of memory: answers and bodies count until the answer has left the process

Cause: budget counted a body only while it was read and only beyond its first 64 KiB. A body that waited or ran, and every answer, was held without being counted; an answer was copied to be written, a body to be framed. A reader had 20 s for a whole answer, so that slow ones were cut off and others could hold 6 MiB each for that time.

When memory runs short, package evict closes the connections whose readers have stalled longest. A long answer waits for its memory; a request whose route has long answers is refused before it runs if there is none (package sizes), and a call for which the serving node has none is refused as not run. Kernel buffers of callers' connections are bounded, so that progress can be seen.

Why it works: no byte of a request or answer is held without a place in the account, whose size follows from the settings, and those that keep their place without progress lose it.

--- a/cmd/pomelo/cmd_sidecar.go
+++ b/cmd/pomelo/cmd_sidecar.go
@@ -22,6 +22,8 @@
 	settingsPollInterval = pomelo.Millis(1_000)
 	// memoryLimitShare is the share of the platform's memory limit that becomes Go's soft memory limit, near which the garbage collector works harder.
 	memoryLimitShare = 0.6
+	// defaultStallTimeout is in milliseconds.
+	defaultStallTimeout = 20_000
 	// gcPercent is the maximum growth, in percent, of the heap between two garbage collections. Go collects at the earliest at 4 MB times this share: above 100 the garbage of a small node takes more memory than its state.
 	gcPercent = 100
 	// storeBodyBytes is the memory for the bodies of the store's responses, in bytes, of which each may use a half.
@@ -32,7 +34,7 @@
 	return command{
 		Name:      "sidecar",
 		Summary:   "runs the node beside an upstream on the users' platform",
-		Arguments: "[-settings FILE] [-metrics_port PORT] [-features LIST]",
+		Arguments: "[-settings FILE] [-metrics_port PORT] [-features LIST] [-stall_timeout_ms N]",
 		Action:    runSidecar,
 	}
 }
@@ -41,9 +43,13 @@
 	path := c.Flags.String("settings", os.Getenv(platform.SettingsVariable), "the platform's settings `file`")
 	port := c.Flags.String("metrics_port", "", "the `port` of the node's address that serves its metrics")
 	featureList := c.Flags.String("features", "", "the enabled features, as a comma-separated `list`")
+	stall := c.Flags.Int("stall_timeout_ms", defaultStallTimeout, "the `milliseconds` in which a body or the reader of an answer must make progress")
 	if err := c.parse(); err != nil {
 		return err
 	}
+	if *stall <= 0 {
+		return pomelo.NewFault(pomelo.KindBadSettings, "-stall_timeout_ms is not positive", "write milliseconds, such as 20000")
+	}
 	features, err := pomelo.ParseFeatures(*featureList)
 	if err != nil {
 		return err
@@ -53,6 +59,7 @@
 		return err
 	}
 	settings.Features = features
+	settings.StallTimeout = pomelo.Millis(*stall)
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryBytes)))
 	metrics := metric.New()
@@ -63,7 +70,7 @@
 	if err := n.Start(); err != nil {
 		return err
 	}
-	go watchSettings(ctx, n, *path, raw, features)
+	go watchSettings(ctx, n, *path, raw, settings)
 	<-ctx.Done()
 	n.Stop()
 	return nil
@@ -92,8 +99,8 @@
 	return raw, s, err
 }
 
-// watchSettings reloads the settings file on SIGHUP and when its content has changed.
-func watchSettings(ctx context.Context, n *mesh.Node, path string, current []byte, features pomelo.Features) {
+// watchSettings reloads the settings file on SIGHUP and when its content has changed; the options of the command line stay those that the node was started with.
+func watchSettings(ctx context.Context, n *mesh.Node, path string, current []byte, started pomelo.HostSettings) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	k := clock.New()
@@ -115,7 +122,8 @@
 		case <-changed:
 		}
 		_, s, err := readHostSettings(path)
-		s.Features = features
+		s.Features = started.Features
+		s.StallTimeout = started.StallTimeout
 		n.Reload(s, err)
 	}
 }
--- a/dialer/peer.go
+++ b/dialer/peer.go
@@ -169,7 +169,9 @@
 
 func quicConfig() *quic.Config {
 	return &quic.Config{
-		MaxIdleTimeout:     idleTimeout,
-		MaxIncomingStreams: streamsPerPeer,
+		MaxIdleTimeout:             idleTimeout,
+		MaxIncomingStreams:         streamsPerPeer,
+		MaxStreamReceiveWindow:     streamWindowBytes,
+		MaxConnectionReceiveWindow: connWindowBytes,
 	}
 }
--- a/dialer/pool.go
+++ b/dialer/pool.go
@@ -21,6 +21,12 @@
 	handshakeTimeouts = 4
 )
 
+// Bytes of answers that a peer may send before they are read, on a stream and on a connection.
+const (
+	streamWindowBytes = 512 << 10
+	connWindowBytes   = 8 << 20
+)
+
 const (
 	codeCanceled quic.StreamErrorCode      = 1
 	codeClosed   quic.ApplicationErrorCode = 0
--- a/dialer/resolve.go
+++ b/dialer/resolve.go
@@ -55,7 +55,7 @@
 	if err := d.pool.codec.Write(s, pomelo.MessageFence, d.call.ID, q, nil); err != nil {
 		return pomelo.Answer{}, true, err
 	}
-	a, err := d.readAnswer(&observedStream{Stream: s})
+	a, err := d.readAnswer(ctx, &observedStream{Stream: s})
 	if err == nil {
 		c.recordAnswer()
 	}
--- a/dialer/send.go
+++ b/dialer/send.go
@@ -5,11 +5,15 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/hold"
 )
 
 // answerGrace is the time after the deadline, in milliseconds, for which the serving node's own answer to a timed-out call is still awaited.
 const answerGrace = pomelo.Millis(50)
 
+// longAnswerBytes is the size of an answer from which it waits for memory.
+const longAnswerBytes = 64 << 10
+
 // delivery is one attempt to send a call to a member.
 type delivery struct {
 	pool   *Pool
@@ -57,16 +61,23 @@
 	if err := d.pool.codec.Write(s, pomelo.MessageCall, d.call.ID, d.call, d.call.Body); err != nil {
 		return pomelo.Answer{}, err
 	}
-	return d.readAnswer(s)
+	return d.readAnswer(ctx, s)
 }
 
-// readAnswer ends the request on the stream and reads the answer.
-func (d *delivery) readAnswer(s *observedStream) (pomelo.Answer, error) {
+// readAnswer ends the request on the stream and reads the answer; a long one waits for its memory, which counts as that of the request.
+func (d *delivery) readAnswer(ctx context.Context, s *observedStream) (pomelo.Answer, error) {
 	var a pomelo.Answer
 	if err := s.Close(); err != nil {
 		return a, errors.Wrap(err, "end the request")
 	}
-	m, err := d.pool.codec.Read(s)
+	memory := hold.FromContext(ctx)
+	m, err := d.pool.codec.ReadCounted(s, func(_ pomelo.MessageKind, n int64) error {
+		if n > longAnswerBytes {
+			return memory.Await(ctx, n)
+		}
+		memory.Add(n)
+		return nil
+	})
 	if err != nil {
 		// Not wrapped: the error's fault is about the message, not about the call.
 		return a, errors.Newf("read the answer: %v", err)
--- a/host_settings.go
+++ b/host_settings.go
@@ -34,6 +34,8 @@
 	ColdSlack float64
 	// EvacuateWithin is the time after the order to evacuate a zone by which no call may reach its upstreams; 0 means that evacuations don't apply.
 	EvacuateWithin Millis
+	// StallTimeout is the time in which a body or the reader of an answer must make progress; 0 means the default.
+	StallTimeout Millis
 	// Features are enabled by the command line.
 	Features Features
 }
--- a/inlet/conn.go
+++ b/inlet/conn.go
@@ -9,22 +9,34 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/pomeloworks/pomelo"
 	"github.com/pomeloworks/pomelo/budget"
+	"github.com/pomeloworks/pomelo/hold"
 	"github.com/pomeloworks/pomelo/stack"
 )
 
 const (
 	// maxPipelined bounds the requests of one connection that are handled concurrently.
-	maxPipelined = 32
-	// writeTimeout bounds the write of one reply, for a caller that does not read it.
-	writeTimeout    = pomelo.Millis(20_000)
+	maxPipelined    = 32
 	readBufferBytes = 4 << 10
 	// retryAfterSeconds is the time after which the memory for bodies is free again: most bodies arrive within it.
 	retryAfterSeconds = "1"
+	// pieceBytes are the bytes of a reply that must be read to count as progress.
+	pieceBytes = 64 << 10
+)
+
+// Estimated memory in bytes.
+const (
+	// ConnBytes is the memory of an open connection: two goroutines, a buffer and a queue.
+	ConnBytes = 24 << 10
+	// callBytes is the memory of a request that is handled, without its head and body.
+	callBytes = 24 << 10
+	// replyBytes is the memory of a reply without its body.
+	replyBytes = 4 << 10
 )
 
 // conn is one caller's connection; one goroutine reads its requests, another writes the replies in order.
@@ -36,14 +48,35 @@
 	input    *limitedReader
 	reader   *bufio.Reader
 	pipeline chan *pendingReply
-	// requestStarted is set once bytes of the next request have arrived; only the reading goroutine uses it.
-	requestStarted bool
-	mu             sync.Mutex
-	inFlight       int
+	// memory is that of the connection itself.
+	memory *hold.Hold
+	// writeStall is the time of the last progress of the reply that is being written, or 0.
+	writeStall atomic.Int64
+	mu         sync.Mutex
+	// incoming is the request that is being read, or nil.
+	incoming *incomingRequest
+	// idleSince is the time since which the connection waits for a request.
+	idleSince pomelo.Millis
+	// hasHadRequest is set once a request was read.
+	hasHadRequest bool
+	// replies holds the memory of the requests without a written reply.
+	replies  map[*hold.Hold]bool
+	inFlight int
 	// closing is set once the connection is to be closed after the requests that have arrived.
 	closing bool
 	// hasLastReply is set once a reply says that it is the connection's last, so that the caller repeats later requests on another one.
 	hasLastReply bool
+	// evicted is set once the connection was closed for want of memory or descriptors.
+	evicted bool
+}
+
+// incomingRequest is a request that is being read.
+type incomingRequest struct {
+	http   *http.Request
+	body   []byte
+	memory *hold.Hold
+	// isStarted is set once bytes of it have arrived.
+	isStarted bool
 }
 
 // pendingReply holds the place of one reply in the connection's order.
@@ -52,23 +85,28 @@
 	// noBody is set for a HEAD request, whose reply is sent without its body.
 	noBody bool
 	close  bool
+	memory *hold.Hold
 }
 
 func newConn(s *Server, c net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &limitedReader{Reader: c}
 	return &conn{
-		Conn:     c,
-		server:   s,
-		ctx:      ctx,
-		cancel:   cancel,
-		input:    l,
-		reader:   bufio.NewReaderSize(l, readBufferBytes),
-		pipeline: make(chan *pendingReply, maxPipelined),
+		Conn:      c,
+		server:    s,
+		ctx:       ctx,
+		cancel:    cancel,
+		input:     l,
+		reader:    bufio.NewReaderSize(l, readBufferBytes),
+		pipeline:  make(chan *pendingReply, maxPipelined),
+		memory:    hold.New(s.budget),
+		idleSince: s.clock.Now(),
+		replies:   map[*hold.Hold]bool{},
 	}
 }
 
 func (c *conn) serve() {
+	c.memory.Add(ConnBytes)
 	go c.writeReplies()
 	c.readRequests()
 	close(c.pipeline)
@@ -77,12 +115,17 @@
 // readRequests reads and dispatches requests until one of them is the connection's last or reading fails.
 func (c *conn) readRequests() {
 	for !c.lastReplyKnown() {
-		r, body, err := c.readRequest()
+		r := &incomingRequest{memory: hold.New(c.server.budget)}
+		err := c.readRequest(r)
+		if err == nil {
+			err = c.finishRead(r)
+		}
 		if err != nil {
-			c.handleReadError(err)
+			r.memory.Release()
+			c.handleReadError(r, err)
 			return
 		}
-		c.dispatch(r, body)
+		c.dispatch(r)
 	}
 	// No more requests are accepted, but the caller's close must still cancel the running ones.
 	c.discardInput()
@@ -101,33 +144,34 @@
 }
 
 // readRequest reads one request with its complete body.
-func (c *conn) readRequest() (*http.Request, []byte, error) {
+func (c *conn) readRequest(q *incomingRequest) error {
 	l := c.server.currentLimits()
 	c.input.remaining = int64(l.HeadBytes + readBufferBytes)
-	c.requestStarted = false
 	if err := c.awaitRequest(l); err != nil {
-		return nil, nil, err
+		return err
+	}
+	if err := c.startRequest(q, l); err != nil {
+		return err
 	}
-	c.requestStarted = true
-	_ = c.SetReadDeadline(time.Now().Add(l.HeadTimeout.Duration()))
 	r, err := http.ReadRequest(c.reader)
 	if err != nil {
-		return nil, nil, err
+		return err
 	}
-	_ = c.SetReadDeadline(time.Time{})
+	q.http = r
 	if r.ContentLength > int64(l.BodyBytes) {
-		return nil, nil, bodyTooLarge()
+		return bodyTooLarge()
 	}
+	_ = c.SetReadDeadline(time.Time{})
 	c.input.remaining = int64(l.BodyBytes) + int64(l.HeadBytes)
 	if r.Header.Get("Expect") != "" && r.ContentLength != 0 {
 		_, _ = io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
-	body, err := c.server.budget.ReadAll(http.MaxBytesReader(nil, r.Body, int64(l.BodyBytes)))
+	q.body, err = q.memory.ReadRequest(http.MaxBytesReader(nil, r.Body, int64(l.BodyBytes)), r.ContentLength, c.server.budget.BodyLimit())
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return nil, nil, bodyTooLarge()
+		return bodyTooLarge()
 	}
-	return r, body, err
+	return err
 }
 
 // awaitRequest waits for the first byte of a request; the idle timeout does not apply while requests are in flight.
@@ -142,6 +186,33 @@
 	}
 }
 
+// startRequest begins the time and the memory of a request, of which the first byte has arrived.
+func (c *conn) startRequest(q *incomingRequest, l pomelo.TrafficLimits) error {
+	c.mu.Lock()
+	if c.evicted {
+		c.mu.Unlock()
+		return errEvicted
+	}
+	c.incoming = q
+	_ = c.SetReadDeadline(time.Now().Add(l.HeadTimeout.Duration()))
+	c.mu.Unlock()
+	q.isStarted = true
+	return q.memory.Take(callBytes)
+}
+
+// finishRead ends the reading of a request.
+func (c *conn) finishRead(_ *incomingRequest) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.incoming = nil
+	c.hasHadRequest = true
+	c.idleSince = c.server.clock.Now()
+	if c.evicted {
+		return errEvicted
+	}
+	return nil
+}
+
 // setIdleDeadline bounds the wait for a request, unless closeIdle has ended it.
 func (c *conn) setIdleDeadline(d pomelo.Millis) {
 	c.mu.Lock()
@@ -158,14 +229,18 @@
 }
 
 // dispatch runs the handler for a request; while the node drains or the connection closes, the request is the connection's last.
-func (c *conn) dispatch(r *http.Request, body []byte) {
-	s := &pendingReply{reply: make(chan pomelo.Reply, 1), noBody: r.Method == http.MethodHead}
+func (c *conn) dispatch(q *incomingRequest) {
+	r, body, memory := q.http, q.body, q.memory
+	s := &pendingReply{reply: make(chan pomelo.Reply, 1), noBody: r.Method == http.MethodHead, memory: memory}
+	memory.Set(callBytes + int64(cap(body)))
 	c.mu.Lock()
-	if c.hasLastReply {
+	if c.hasLastReply || c.evicted {
 		c.mu.Unlock()
+		memory.Release()
 		return
 	}
 	c.inFlight++
+	c.replies[memory] = true
 	c.closing = c.closing || r.Close || c.server.draining.Load()
 	c.hasLastReply = c.closing
 	s.close = c.closing
@@ -174,19 +249,26 @@
 	c.pipeline <- s
 	go func() {
 		stack.Grow()
-		ctx, cancel := context.WithCancel(c.ctx)
+		ctx, cancel := context.WithCancel(hold.NewContext(c.ctx, memory))
 		defer cancel()
 		defer context.AfterFunc(c.server.requestContext, cancel)()
 		reply := pomelo.Reply{Status: http.StatusBadGateway, Header: http.Header{}, Close: true}
 		c.server.guard.Run("request", "", func() { reply = c.server.handler(ctx, r, body) })
+		memory.Set(replyBytes + int64(cap(reply.Body)))
 		s.reply <- reply
 	}()
 }
 
 // handleReadError refuses an invalid or oversized request, and cancels all running requests when the caller has closed the connection.
-func (c *conn) handleReadError(err error) {
+func (c *conn) handleReadError(q *incomingRequest, err error) {
+	c.mu.Lock()
+	c.incoming = nil
+	connEvicted := c.evicted
+	c.mu.Unlock()
 	var f *pomelo.Fault
 	switch {
+	case connEvicted:
+		c.cancel()
 	case errors.As(err, &f):
 		c.refuse(http.StatusRequestEntityTooLarge)
 	case errors.Is(err, budget.ErrExhausted), errors.Is(err, budget.ErrBodyTooLarge):
@@ -195,7 +277,7 @@
 	case errors.Is(err, errHeadTooLarge):
 		c.refuse(http.StatusRequestHeaderFieldsTooLarge)
 	case c.input.timedOut:
-		c.handleTimeout()
+		c.handleTimeout(q)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isNetworkError(err):
 		c.cancel()
 	default:
@@ -204,8 +286,8 @@
 }
 
 // handleTimeout refuses an incomplete request with status 408; an idle connection closes without a reply.
-func (c *conn) handleTimeout() {
-	if !c.requestStarted {
+func (c *conn) handleTimeout(q *incomingRequest) {
+	if !q.isStarted {
 		return
 	}
 	c.refuse(http.StatusRequestTimeout)
@@ -215,7 +297,7 @@
 func (c *conn) refuse(status int) {
 	c.server.metrics.Count("inlet.refused."+strconv.Itoa(status), 1)
 	c.server.log.Info("request_not_read", "caller", c.RemoteAddr(), "status", status)
-	s := &pendingReply{reply: make(chan pomelo.Reply, 1), close: true}
+	s := &pendingReply{reply: make(chan pomelo.Reply, 1), close: true, memory: hold.New(c.server.budget)}
 	c.mu.Lock()
 	c.inFlight++
 	c.closing = true
@@ -252,6 +334,7 @@
 	defer c.shutDown()
 	for s := range c.pipeline {
 		last, ok := c.reply(s)
+		c.releaseReply(s)
 		// A stopping node waits for the end of the write, which a caller that reads slowly delays.
 		c.server.pending.Add(-1)
 		if !ok || last {
@@ -273,10 +356,19 @@
 	}
 	c.mu.Lock()
 	c.inFlight--
+	c.idleSince = c.server.clock.Now()
 	c.mu.Unlock()
 	return last, true
 }
 
+// releaseReply gives back the memory of a request whose reply was written or given up.
+func (c *conn) releaseReply(s *pendingReply) {
+	s.memory.Release()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.replies, s.memory)
+}
+
 // awaitReply waits for the reply; it returns false once the caller has closed the connection.
 func (c *conn) awaitReply(s *pendingReply) (pomelo.Reply, bool) {
 	select {
@@ -307,10 +399,12 @@
 	}
 	c.waitBeforeClose()
 	_ = c.Close()
-	c.server.removeConn(c)
-	for range c.pipeline {
+	c.server.conns.Remove(c)
+	for s := range c.pipeline {
+		c.releaseReply(s)
 		c.server.pending.Add(-1)
 	}
+	c.memory.Release()
 }
 
 // closeGracePeriod is the delay before the connection is closed: a close with unread input resets it, and the caller can lose the last reply.
@@ -318,8 +412,11 @@
 
 // waitBeforeClose sets a read deadline that ends the reading goroutine, and waits for closeGracePeriod if the connection is closing.
 func (c *conn) waitBeforeClose() {
+	c.mu.Lock()
+	waits := c.closing && !c.evicted
+	c.mu.Unlock()
 	_ = c.SetReadDeadline(time.Now().Add(closeGracePeriod.Duration()))
-	if c.isClosing() {
+	if waits {
 		_ = c.server.clock.Sleep(context.Background(), closeGracePeriod)
 	}
 }
@@ -334,6 +431,7 @@
 	}
 }
 
+// writeReply writes the reply; a caller that reads it slowly has time as long as it makes progress.
 func (c *conn) writeReply(r pomelo.Reply, noBody, closeAfter bool) error {
 	var b bytes.Buffer
 	b.WriteString("HTTP/1.1 " + strconv.Itoa(r.Status) + " " + http.StatusText(r.Status) + "\r\n")
@@ -347,11 +445,31 @@
 		b.WriteString("Connection: close\r\n")
 	}
 	b.WriteString("\r\n")
-	if !noBody {
-		b.Write(r.Body)
+	rest := r.Body
+	if noBody {
+		rest = nil
+	}
+	first := min(len(rest), pieceBytes)
+	b.Write(rest[:first])
+	defer c.writeStall.Store(0)
+	if err := c.writePiece(b.Bytes()); err != nil {
+		return err
+	}
+	for rest = rest[first:]; len(rest) > 0; {
+		n := min(len(rest), pieceBytes)
+		if err := c.writePiece(rest[:n]); err != nil {
+			return err
+		}
+		rest = rest[n:]
 	}
-	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout.Duration()))
-	_, err := c.Write(b.Bytes())
+	return nil
+}
+
+// writePiece writes a part of a reply within the time for progress.
+func (c *conn) writePiece(b []byte) error {
+	c.writeStall.Store(int64(c.server.clock.Now()))
+	_ = c.SetWriteDeadline(time.Now().Add(c.server.stallTimeout.Duration()))
+	_, err := c.Write(b)
 	return err
 }
 
--- a/inlet/server.go
+++ b/inlet/server.go
@@ -2,14 +2,15 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 	"github.com/pomeloworks/pomelo"
 	"github.com/pomeloworks/pomelo/budget"
+	"github.com/pomeloworks/pomelo/evict"
 	"github.com/pomeloworks/pomelo/guard"
 )
 
@@ -19,7 +20,9 @@
 	defaultIdleTimeout = pomelo.Millis(15_000)
 	defaultHeadBytes   = 16 << 10
 	defaultBodyBytes   = 64 << 20
-	defaultBudgetBytes = 32 << 20
+	defaultBudgetBytes = 128 << 20
+	// defaultStallTimeout is the time in which a body or the reader of a reply must make progress.
+	defaultStallTimeout = pomelo.Millis(20_000)
 	// acceptRetryDelay applies after a failed accept, such as when file descriptors run out.
 	acceptRetryDelay = pomelo.Millis(20)
 )
@@ -35,8 +38,11 @@
 	handler  Handler
 	limits   func() pomelo.TrafficLimits
 	listener net.Listener
-	mu       sync.Mutex
-	conns    map[*conn]bool
+	conns    *evict.Table
+	// accepting ends with Close.
+	accepting     context.Context
+	stopAccepting context.CancelFunc
+	stallTimeout  pomelo.Millis
 	// requestContext is cancelled by Abort, and cancels the context of every running request.
 	requestContext context.Context
 	cancelRequests context.CancelFunc
@@ -48,22 +54,34 @@
 
 // New returns a server that calls limits for each request.
 func New(clock pomelo.Clock, log pomelo.Logger, metrics pomelo.Metrics, handler Handler, limits func() pomelo.TrafficLimits, opts ...func(*Server)) *Server {
-	s := &Server{clock: clock, log: log, metrics: metrics, handler: handler, limits: limits, conns: map[*conn]bool{}, budget: budget.New(defaultBudgetBytes), guard: guard.New(log)}
+	s := &Server{clock: clock, log: log, metrics: metrics, handler: handler, limits: limits, budget: budget.New(defaultBudgetBytes), stallTimeout: defaultStallTimeout, guard: guard.New(log)}
 	s.requestContext, s.cancelRequests = context.WithCancel(context.Background())
+	s.accepting, s.stopAccepting = context.WithCancel(context.Background())
 	for _, o := range opts {
 		o(s)
 	}
+	s.conns = evict.New(clock, log, metrics, "callers", math.MaxInt)
+	s.budget.OnShortage(s.conns.Reclaim)
 	return s
 }
 
-// WithBudget sets the budget for the bodies of requests.
+// WithBudget sets the budget for the memory of connections, requests and replies; the server ends stalled connections when it is used up.
 func WithBudget(b *budget.Budget) func(*Server) {
 	return func(s *Server) { s.budget = b }
 }
 
+// WithStallTimeout sets the time, in milliseconds, after which a body or the reader of a reply that makes no progress is given up; 0 leaves the default.
+func WithStallTimeout(d pomelo.Millis) func(*Server) {
+	return func(s *Server) {
+		if d > 0 {
+			s.stallTimeout = d
+		}
+	}
+}
+
 // Start listens on the address and serves in the background; an address that can't be used is KindBadSettings.
 func (s *Server) Start(address string) error {
-	l, err := net.Listen("tcp", address)
+	l, err := bufferedListen(address)
 	if err != nil {
 		return pomelo.NewFault(pomelo.KindBadSettings, "can't listen for callers: "+err.Error(), "choose another address for callers")
 	}
@@ -89,6 +107,7 @@
 
 // Close stops accepting connections and closes the idle ones; running requests still get their replies.
 func (s *Server) Close() {
+	s.stopAccepting()
 	if s.listener != nil {
 		_ = s.listener.Close()
 	}
@@ -98,11 +117,11 @@
 // CloseIdle closes the idle connections and drains; new connections are still accepted.
 func (s *Server) CloseIdle() {
 	s.draining.Store(true)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.conns {
-		c.closeIdle()
-	}
+	s.conns.Each(func(c pomelo.ClientConn) {
+		if k, ok := c.(*conn); ok {
+			k.closeIdle()
+		}
+	})
 }
 
 // Abort cancels the contexts of the running requests; the replies of their handlers are still written.
@@ -122,19 +141,14 @@
 			continue
 		}
 		k := newConn(s, c)
-		s.mu.Lock()
-		s.conns[k] = true
-		s.mu.Unlock()
+		if err := s.conns.Add(s.accepting, k); err != nil {
+			_ = c.Close()
+			continue
+		}
 		go k.serve()
 	}
 }
 
-func (s *Server) removeConn(c *conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.conns, c)
-}
-
 // currentLimits returns the limits of the policy, with defaults for those that it does not set.
 func (s *Server) currentLimits() pomelo.TrafficLimits {
 	l := s.limits()
--- /dev/null
+++ b/inlet/stalled_test.go
@@ -0,0 +1,54 @@
+package inlet_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/budget"
+	"github.com/pomeloworks/pomelo/clock"
+	"github.com/pomeloworks/pomelo/inlet"
+	"github.com/pomeloworks/pomelo/logs"
+	"github.com/pomeloworks/pomelo/metric"
+	"github.com/smartystreets/goconvey/convey"
+)
+
+// stallTime is longer than the time after which a stalled transfer may be ended for want of memory.
+const stallTime = 1_500 * time.Millisecond
+
+func startWith(t testing.TB, h inlet.Handler, opts ...func(*inlet.Server)) *inlet.Server {
+	s := inlet.New(clock.New(), logs.New(io.Discard), metric.New(), h, func() pomelo.TrafficLimits { return pomelo.TrafficLimits{} }, opts...)
+	if err := s.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+func TestStalledTransfers(t *testing.T) {
+	convey.Convey("A reply that nobody reads gives way to a request", t, func() {
+		long := func(_ context.Context, r *http.Request, body []byte) pomelo.Reply {
+			if r.URL.Path == "/long" {
+				body = make([]byte, 4<<20)
+			}
+			return pomelo.Reply{Status: http.StatusOK, Header: http.Header{}, Body: body}
+		}
+		memory := budget.New(4 << 20)
+		s := startWith(t, long, inlet.WithBudget(memory))
+		unread, _ := dial(s)
+		_, _ = io.WriteString(unread, "GET /long HTTP/1.1\r\nHost: h\r\n\r\n")
+		time.Sleep(stallTime)
+		c, r := dial(s)
+		_, _ = io.WriteString(c, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 500000\r\n\r\n"+strings.Repeat("x", 500_000))
+		resp, err := http.ReadResponse(r, nil)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(resp.StatusCode, convey.ShouldEqual, http.StatusOK)
+		_ = c.Close()
+		convey.So(eventually(func() bool { return memory.Used() == 0 && s.Pending() == 0 }), convey.ShouldBeTrue)
+		_ = unread.Close()
+	})
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"strings"
 
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/hold"
+	"github.com/pomeloworks/pomelo/sizes"
 )
 
 // Times in milliseconds.
@@ -18,6 +21,8 @@
 	staleKeysRetryAfter = pomelo.Millis(1_000)
 	// defaultRetryAfter is returned with refusals that set no time: about the time in which a change of members reaches all nodes.
 	defaultRetryAfter = pomelo.Millis(300)
+	// memoryRetryAfter is returned while there is no memory for a long answer.
+	memoryRetryAfter = pomelo.Millis(1_000)
 	// defaultCallerTimeout applies to requests without a timeout.
 	defaultCallerTimeout = pomelo.Millis(10_000)
 )
@@ -37,6 +42,7 @@
 	maxKeyAge pomelo.Millis
 	balancer  balancer
 	stop      stop
+	answers   *sizes.Sizes
 }
 
 // New returns an intake for a VM of this service that passes root requests to entry and sub-calls to next; maxKeyAge is the allowed age, in milliseconds, of the policy that keys are authenticated with.
@@ -54,6 +60,7 @@
 		service:   service,
 		maxKeyAge: maxKeyAge,
 		balancer:  balancer{current: map[string][]int{}},
+		answers:   sizes.New(math.MaxInt64),
 	}
 	for _, o := range opts {
 		o(i)
@@ -61,6 +68,11 @@
 	return i
 }
 
+// WithAnswerSizes sets the estimate of the sizes of answers, for which requests must find memory.
+func WithAnswerSizes(s *sizes.Sizes) func(*Intake) {
+	return func(i *Intake) { i.answers = s }
+}
+
 // ParentCalls finds the running parent call of a sub-call, and adds the sub-call's counts to it.
 type ParentCalls interface {
 	Parent(id string) (pomelo.Call, bool)
@@ -79,6 +91,7 @@
 		return i.reply(q, c, pomelo.Refuse(q.ID, pomelo.FaultOf(err)), arrivedAt)
 	}
 	a := i.withoutPromise(c, i.dispatch(ctx, c))
+	i.answers.Record(c.RouteName, len(a.Body))
 	if c.Account != "" && a.Refusal != nil && a.Refusal.Ran == pomelo.RanNo {
 		i.rates.Refund(c.Account)
 	}
@@ -118,12 +131,27 @@
 		return c, err
 	}
 	c.Regions = regionsOf(c, route, p)
+	if f := i.reserveAnswer(ctx, c); f != nil {
+		return c, f
+	}
 	if c.Account == "" {
 		return c, nil
 	}
 	return c, i.rates.Admit(ctx, c)
 }
 
+// reserveAnswer takes the memory for the answer that the call's route is expected to give, or returns the refusal of a call that would run in vain.
+func (i *Intake) reserveAnswer(ctx context.Context, c pomelo.Call) *pomelo.Fault {
+	err := hold.FromContext(ctx).Reserve(i.answers.Expect(c.RouteName))
+	if err == nil {
+		return nil
+	}
+	i.metrics.Count("intake.answers_refused", 1)
+	f := pomelo.NewFault(pomelo.KindOverload, "the node has no memory for the answer", "come back after the given time")
+	f.RetryAfter = memoryRetryAfter
+	return f
+}
+
 // fillCall sets the fields of the call that follow from the request and its route.
 func (i *Intake) fillCall(c pomelo.Call, q pomelo.Request, route pomelo.TrafficRoute, arrivedAt pomelo.Millis) pomelo.Call {
 	c.RouteName = route.Name
--- a/listen/server.go
+++ b/listen/server.go
@@ -9,7 +9,9 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/budget"
 	"github.com/pomeloworks/pomelo/guard"
+	"github.com/pomeloworks/pomelo/hold"
 	"github.com/pomeloworks/pomelo/ident"
 	"github.com/pomeloworks/pomelo/stack"
 	"github.com/pomeloworks/pomelo/wire"
@@ -22,6 +24,12 @@
 	maxStreamsPerPeer = 1 << 16
 	// requestTimeout is the time for a peer to send one message, in milliseconds.
 	requestTimeout = pomelo.Millis(10_000)
+	// memoryRetryAfter is the time in which memory becomes free, in milliseconds.
+	memoryRetryAfter = pomelo.Millis(1_000)
+	// callBytes is the memory of a call that is handled, in bytes, without its message.
+	callBytes = 24 << 10
+	// replyBytes is the memory of an answer, in bytes, without its body.
+	replyBytes = 4 << 10
 )
 
 const (
@@ -37,6 +45,7 @@
 	members     pomelo.Membership
 	log         pomelo.Logger
 	fencer      pomelo.Fencer
+	budget      *budget.Budget
 	responders  map[pomelo.MessageKind]pomelo.Responder
 	socket      net.PacketConn
 	listener    *quic.Listener
@@ -76,6 +85,11 @@
 	return func(s *Server) { s.fencer = f }
 }
 
+// WithBudget counts the memory of calls and their answers; calls for which there is none are refused as not run.
+func WithBudget(b *budget.Budget) func(*Server) {
+	return func(s *Server) { s.budget = b }
+}
+
 func pong(context.Context, pomelo.Member, func(any) error) (any, error) {
 	return true, nil
 }
@@ -202,15 +216,27 @@
 func (s *Server) handleStream(st *quic.Stream, from pomelo.Member) {
 	stack.Grow()
 	defer func() { _ = st.Close() }()
+	memory := s.newHold()
+	defer memory.Release()
 	_ = st.SetReadDeadline(time.Now().Add(requestTimeout.Duration()))
-	m, err := s.codec.Read(st)
+	m, err := s.codec.ReadCounted(st, func(kind pomelo.MessageKind, n int64) error {
+		if kind != pomelo.MessageCall {
+			memory.Add(n)
+			return nil
+		}
+		return memory.Take(callBytes + n)
+	})
 	_ = st.SetReadDeadline(time.Time{})
+	if errors.Is(err, budget.ErrExhausted) {
+		s.refuseCall(st, m)
+		return
+	}
 	if err != nil {
 		s.log.Debug("message_unreadable", "error", err.Error())
 		st.CancelWrite(codeCanceled)
 		return
 	}
-	ctx, cancel := streamContext(s.calls, st)
+	ctx, cancel := streamContext(hold.NewContext(s.calls, memory), st)
 	defer cancel()
 	switch m.Kind {
 	case pomelo.MessageCall:
@@ -222,6 +248,28 @@
 	}
 }
 
+// newHold returns the memory of one message, or nil if it is not counted.
+func (s *Server) newHold() *hold.Hold {
+	if s.budget == nil {
+		return nil
+	}
+	return hold.New(s.budget)
+}
+
+// refuseCall refuses a call of which only the head was read, since there is no memory for the rest.
+func (s *Server) refuseCall(st *quic.Stream, m pomelo.Message) {
+	st.CancelRead(codeCanceled)
+	var c pomelo.Call
+	if err := s.codec.Decode(m, &c); err != nil {
+		st.CancelWrite(codeCanceled)
+		return
+	}
+	s.log.Debug("call_not_read", "request", c.ID, "root", c.RootID)
+	f := pomelo.NewFault(pomelo.KindOverload, "the serving node has no memory for the call", "come back after the given time")
+	f.RetryAfter = memoryRetryAfter
+	s.writeAnswer(st, pomelo.Refuse(c.ID, f))
+}
+
 func (s *Server) handleRequest(ctx context.Context, st *quic.Stream, from pomelo.Member, m pomelo.Message) {
 	r, ok := s.responders[m.Kind]
 	if !ok {
@@ -255,7 +303,9 @@
 		return
 	}
 	c.Body = m.Body
-	s.writeAnswer(st, s.withAbort(s.handler.Handle(ctx, c)))
+	a := s.withAbort(s.handler.Handle(ctx, c))
+	hold.FromContext(ctx).Set(replyBytes + int64(cap(a.Body)))
+	s.writeAnswer(st, a)
 }
 
 // withAbort reports a call that Abort canceled as lost with its node, since its caller has not given it up.
--- a/mesh/components.go
+++ b/mesh/components.go
@@ -29,6 +29,7 @@
 	"github.com/pomeloworks/pomelo/retry"
 	"github.com/pomeloworks/pomelo/send"
 	"github.com/pomeloworks/pomelo/shed"
+	"github.com/pomeloworks/pomelo/sizes"
 	"github.com/pomeloworks/pomelo/spool"
 	"github.com/pomeloworks/pomelo/subset"
 	"github.com/pomeloworks/pomelo/uplink"
@@ -54,12 +55,10 @@
 	dialTimeout = pomelo.Millis(250)
 	// headBytes is the maximum size of the head of a message between nodes.
 	headBytes = 256 << 10
-	// bodyMemoryDivisor is the part of the VM's memory that bodies being read may use: they are held once more while they are sent on.
-	bodyMemoryDivisor = 8
 	// resumeIntervals is the number of heartbeat intervals after the start of the process for which an upstream that has sent no heartbeat is used: its first one may be late by half an interval.
 	resumeIntervals = 1.5
-	// minBodyMemory is the memory for bodies, in bytes, on a VM that states no or very little memory.
-	minBodyMemory = 8 << 20
+	// longAnswerBytes is the size from which the answers of a route are expected to need memory.
+	longAnswerBytes = 64 << 10
 )
 
 // bootClock goes on while the machine is suspended. It measures the age of keys, leases, ownership and grants.
@@ -95,7 +94,7 @@
 		func(n *Node) *metric.Sink { return n.metrics },
 		ident.New,
 		func(n *Node) *budget.Budget {
-			return budget.New(max(minBodyMemory, int64(n.settings.MemoryBytes)/bodyMemoryDivisor))
+			return budget.New(n.limits().ClientMemory(), budget.WithBodyLimit(n.limits().BodyBytes()))
 		},
 		func(b *budget.Budget) *wire.Codec { return wire.New(wire.WithLimits(headBytes, int(b.BodyLimit()))) },
 		func(n *Node, c *clock.Clock) *spool.Spool { return spool.New(n.output, c) },
@@ -114,6 +113,7 @@
 		newListen,
 		func() *subset.Chooser { return subset.New() },
 		newSender,
+		func() *sizes.Sizes { return sizes.New(longAnswerBytes) },
 		newIntake,
 		newInlet,
 		func(c *clock.Clock, d *dialer.Pool, l *listen.Server) *usage.Meter { return usage.New(c, d, l) },
@@ -247,8 +247,8 @@
 	return fence.New(c, guard.New(log).Handler(w), fence.WithLog(log))
 }
 
-func newListen(n *Node, i *ident.Identity, w *wire.Codec, v *view.View, f *fence.Table, r *rates.Limiter, log pomelo.Logger) *listen.Server {
-	s := listen.New(i, w, v, f, log, listen.WithFencer(f))
+func newListen(n *Node, i *ident.Identity, w *wire.Codec, v *view.View, f *fence.Table, r *rates.Limiter, memory *budget.Budget, log pomelo.Logger) *listen.Server {
+	s := listen.New(i, w, v, f, log, listen.WithFencer(f), listen.WithBudget(memory))
 	s.RegisterResponder(pomelo.MessageGrant, r.Answer)
 	s.RegisterResponder(pomelo.MessageGossip, v.Answer)
 	s.RegisterResponder(pomelo.MessagePolicy, v.AnswerPolicy)
@@ -271,13 +271,13 @@
 	return send.New(c, v, p, d, w, m, opts...)
 }
 
-func newIntake(n *Node, c *clock.Clock, v *view.View, r *rates.Limiter, s *send.Sender, w *worker.Worker, f *filter.Filter, m *metric.Sink, log pomelo.Logger) *intake.Intake {
+func newIntake(n *Node, c *clock.Clock, v *view.View, r *rates.Limiter, s *send.Sender, w *worker.Worker, f *filter.Filter, x *sizes.Sizes, m *metric.Sink, log pomelo.Logger) *intake.Intake {
 	entryShedder := shed.New(c, s, m, shed.WithSeed(newSeed()))
 	g := guard.New(log)
-	return intake.New(c, n.host.Dialect, v, r, g.Handler(f.Handler(entryShedder)), g.Handler(f.Handler(s)), w, m, log, n.settings.Service, n.settings.KeyMaxAge)
+	return intake.New(c, n.host.Dialect, v, r, g.Handler(f.Handler(entryShedder)), g.Handler(f.Handler(s)), w, m, log, n.settings.Service, n.settings.KeyMaxAge, intake.WithAnswerSizes(x))
 }
 
-func newInlet(c *clock.Clock, i *intake.Intake, v *view.View, bodies *budget.Budget, m *metric.Sink, log pomelo.Logger) *inlet.Server {
+func newInlet(n *Node, c *clock.Clock, i *intake.Intake, v *view.View, bodies *budget.Budget, m *metric.Sink, log pomelo.Logger) *inlet.Server {
 	limits := func() pomelo.TrafficLimits {
 		p, ok := v.Policy()
 		if !ok {
@@ -285,7 +285,7 @@
 		}
 		return p.Limits()
 	}
-	return inlet.New(c, log, m, i.Handle, limits, inlet.WithBudget(bodies))
+	return inlet.New(c, log, m, i.Handle, limits, inlet.WithBudget(bodies), inlet.WithStallTimeout(n.settings.StallTimeout))
 }
 
 func newSeed() uint64 {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/pomeloworks/pomelo"
 	"github.com/pomeloworks/pomelo/metric"
+	"github.com/pomeloworks/pomelo/room"
 	"go.uber.org/fx"
 )
 
@@ -154,6 +155,11 @@
 	return n.components.Inlet.Start(s.CallerAddress)
 }
 
+// limits returns the limits of the process.
+func (n *Node) limits() room.Limits {
+	return room.Limits{MemoryBytes: n.settings.MemoryBytes}
+}
+
 func (n *Node) serve(address string, h http.Handler) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
--- a/uplink/client.go
+++ b/uplink/client.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/pomeloworks/pomelo"
 	"github.com/pomeloworks/pomelo/budget"
+	"github.com/pomeloworks/pomelo/hold"
 )
 
 // Times in milliseconds, and bytes.
@@ -163,7 +164,7 @@
 		return pomelo.Refuse(e.call.ID, incompleteFault(ctx, err)), false
 	}
 	e.client.onResponse(e.upstream, info)
-	body, err := e.readBody(resp)
+	body, err := e.readBody(ctx, resp)
 	if info.NotRun {
 		e.client.onRejected(e.call, e.describe(resp, info))
 		return pomelo.Refuse(e.call.ID, notRunFault(info)), err == nil && !info.Unnamed && e.isReusable(resp) && e.conn.recordRejection(e.call.ID, e.call.Deadline, e.client.clock.Now())
@@ -175,9 +176,18 @@
 	return a, e.isReusable(resp)
 }
 
-// readBody reads the body and checks the trailer, which is not passed on.
-func (e *exchange) readBody(resp *http.Response) ([]byte, error) {
-	body, err := e.client.budget.ReadAll(resp.Body)
+// readBody reads the body, whose memory counts as that of the request, and checks the trailer, which is not passed on.
+func (e *exchange) readBody(ctx context.Context, resp *http.Response) ([]byte, error) {
+	memory := hold.FromContext(ctx)
+	if memory == nil {
+		memory = hold.New(e.client.budget)
+		defer memory.Release()
+	}
+	length := resp.ContentLength
+	if resp.Body == http.NoBody {
+		length = 0
+	}
+	body, err := memory.ReadAnswer(ctx, resp.Body, length, e.client.budget.BodyLimit())
 	if err != nil {
 		return nil, err
 	}
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -17,6 +17,8 @@
 	defaultHeadBytes = 64 << 10
 	defaultBodyBytes = 1 << 20
 	firstReadBytes   = 64 << 10
+	// growthFactor keeps the copies of a long message small while it grows.
+	growthFactor = 4
 )
 
 // Codec writes and reads messages within its limits; it is safe for concurrent use.
@@ -62,6 +64,9 @@
 	return m
 }
 
+// largeBodyBytes is the size from which a body is written by itself, not copied into one buffer with its head.
+const largeBodyBytes = 32 << 10
+
 // Write writes one message with its head encoded as CBOR; it returns KindTooLarge and writes nothing if the message exceeds a limit.
 func (c *Codec) Write(w io.Writer, kind pomelo.MessageKind, id string, head any, body []byte) error {
 	h, err := c.encoder.Marshal(head)
@@ -74,12 +79,25 @@
 	if err := c.checkLimits(len(h), len(body)); err != nil {
 		return err
 	}
-	b := make([]byte, 0, prefixBytes+len(h)+len(body)+idLengthBytes+len(id))
+	inline := body
+	if len(body) >= largeBodyBytes {
+		inline = nil
+	}
+	b := make([]byte, 0, prefixBytes+len(h)+len(inline)+idLengthBytes+len(id))
 	b = append(b, byte(kind))
 	b = binary.BigEndian.AppendUint32(b, uint32(len(h)))
 	b = binary.BigEndian.AppendUint32(b, uint32(len(body)))
 	b = append(b, h...)
-	b = append(b, body...)
+	if len(body) >= largeBodyBytes {
+		if _, err := w.Write(b); err != nil {
+			return errors.Wrap(err, "write message")
+		}
+		if _, err := w.Write(body); err != nil {
+			return errors.Wrap(err, "write message")
+		}
+		b = b[:0]
+	}
+	b = append(b, inline...)
 	b = binary.BigEndian.AppendUint16(b, uint16(len(id)))
 	b = append(b, id...)
 	_, err = w.Write(b)
@@ -88,6 +106,11 @@
 
 // Read returns the next message; it returns KindProtocol if the message is truncated, and KindTooLarge if its head or body exceeds a limit.
 func (c *Codec) Read(r io.Reader) (pomelo.Message, error) {
+	return c.ReadCounted(r, func(pomelo.MessageKind, int64) error { return nil })
+}
+
+// ReadCounted is Read, and calls take with the message's kind and size before it reads them; after an error of take, which it returns, the message has its head only.
+func (c *Codec) ReadCounted(r io.Reader, take func(pomelo.MessageKind, int64) error) (pomelo.Message, error) {
 	var prefix [prefixBytes]byte
 	if _, err := io.ReadFull(r, prefix[:]); err != nil {
 		return pomelo.Message{}, truncatedFault(err)
@@ -97,6 +120,14 @@
 	if err := c.checkLimits(int(head), int(body)); err != nil {
 		return pomelo.Message{}, err
 	}
+	kind := pomelo.MessageKind(prefix[0])
+	if refused := take(kind, int64(head)+int64(body)); refused != nil {
+		h, err := readExactly(r, int(head))
+		if err != nil {
+			return pomelo.Message{}, truncatedFault(err)
+		}
+		return pomelo.Message{Kind: kind, Head: h}, refused
+	}
 	b, err := readExactly(r, int(head)+int(body))
 	if err != nil {
 		return pomelo.Message{}, truncatedFault(err)
@@ -106,7 +137,7 @@
 		return pomelo.Message{}, err
 	}
 	return pomelo.Message{
-		Kind: pomelo.MessageKind(prefix[0]),
+		Kind: kind,
 		ID:   id,
 		Head: b[:head:head],
 		Body: b[head:],
@@ -118,7 +149,7 @@
 	b := make([]byte, 0, min(n, firstReadBytes))
 	for len(b) < n {
 		if len(b) == cap(b) {
-			b = append(make([]byte, 0, min(n, 2*cap(b))), b...)
+			b = append(make([]byte, 0, min(n, growthFactor*cap(b))), b...)
 		}
 		read, err := io.ReadFull(r, b[len(b):cap(b)])
 		b = b[:len(b)+read]
