inlet: bodies that make no progress give way

What callers saw: 503 for every body over 64 KiB, as long as some clients kept theirs open just short of the end.

Cause: a body had no time limit, and what had stalled kept its part of the budget; whoever came next was refused.

Evidence, on: beside 150 bodies that stop a byte short of 1 MiB, with and without a key, no body of 512 KiB was served within 30 and 60 s (TestCrowdUnfinishedBodies, TestCrowdWithoutKey). 2,400 bodies of 60,000 bytes, none of which was counted, took 214 MB of 128 (TestCrowdSmallBodies).

Change: a body without progress for 20 s is refused with 408. When memory runs short, the one that has stalled longest, for a second or more, is refused with 503, not run, behind the replies before it.

Why it works: what stalled is given up before it has run, by the promise that a refusal makes; a slow body that makes progress is served while memory suffices.

--- a/inlet/conn.go
+++ b/inlet/conn.go
@@ -25,8 +25,12 @@
 	readBufferBytes = 4 << 10
 	// retryAfterSeconds is the time after which the memory for bodies is free again: most bodies arrive within it.
 	retryAfterSeconds = "1"
+	// progressBytes are the bytes of a request that must arrive to count as progress while memory is short.
+	progressBytes = 16 << 10
 	// pieceBytes are the bytes of a reply that must be read to count as progress.
 	pieceBytes = 64 << 10
+	// deadlineInterval is the least time between two extensions of a transfer's deadline, in milliseconds.
+	deadlineInterval = pomelo.Millis(1_000)
 )
 
 // Estimated memory in bytes.
@@ -77,6 +81,16 @@
 	memory *hold.Hold
 	// isStarted is set once bytes of it have arrived.
 	isStarted bool
+	// inBody is set once the head was read.
+	inBody bool
+	// stalledSince is the time of the last progress.
+	stalledSince pomelo.Millis
+	// moved are the bytes that have arrived since then.
+	moved int
+	// deadlineAt is the time at which the read deadline was set last.
+	deadlineAt pomelo.Millis
+	// evicted is set once the request was refused for want of memory.
+	evicted bool
 }
 
 // pendingReply holds the place of one reply in the connection's order.
@@ -91,7 +105,7 @@
 func newConn(s *Server, c net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &limitedReader{Reader: c}
-	return &conn{
+	k := &conn{
 		Conn:      c,
 		server:    s,
 		ctx:       ctx,
@@ -103,6 +117,8 @@
 		idleSince: s.clock.Now(),
 		replies:   map[*hold.Hold]bool{},
 	}
+	l.onRead = k.recordRead
+	return k
 }
 
 func (c *conn) serve() {
@@ -147,6 +163,7 @@
 func (c *conn) readRequest(q *incomingRequest) error {
 	l := c.server.currentLimits()
 	c.input.remaining = int64(l.HeadBytes + readBufferBytes)
+	c.input.err = nil
 	if err := c.awaitRequest(l); err != nil {
 		return err
 	}
@@ -161,7 +178,7 @@
 	if r.ContentLength > int64(l.BodyBytes) {
 		return bodyTooLarge()
 	}
-	_ = c.SetReadDeadline(time.Time{})
+	c.startBody(q)
 	c.input.remaining = int64(l.BodyBytes) + int64(l.HeadBytes)
 	if r.Header.Get("Expect") != "" && r.ContentLength != 0 {
 		_, _ = io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n")
@@ -193,6 +210,8 @@
 		c.mu.Unlock()
 		return errEvicted
 	}
+	now := c.server.clock.Now()
+	q.stalledSince = now
 	c.incoming = q
 	_ = c.SetReadDeadline(time.Now().Add(l.HeadTimeout.Duration()))
 	c.mu.Unlock()
@@ -200,14 +219,51 @@
 	return q.memory.Take(callBytes)
 }
 
-// finishRead ends the reading of a request.
-func (c *conn) finishRead(_ *incomingRequest) error {
+// startBody ends the time for the head; a body has time as long as it makes progress.
+func (c *conn) startBody(q *incomingRequest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	q.inBody = true
+	c.extendRead(q, c.server.clock.Now())
+}
+
+// extendRead gives the rest of the body time; mu must be locked.
+func (c *conn) extendRead(q *incomingRequest, now pomelo.Millis) {
+	if q.evicted {
+		return
+	}
+	q.deadlineAt = now
+	_ = c.SetReadDeadline(time.Now().Add(c.server.stallTimeout.Duration()))
+}
+
+// recordRead counts the bytes of the request that is being read; an error ends it.
+func (c *conn) recordRead(b []byte) error {
+	c.mu.Lock()
+	q := c.incoming
+	if q == nil {
+		c.mu.Unlock()
+		return nil
+	}
+	now := c.server.clock.Now()
+	if q.moved += len(b); q.moved >= progressBytes {
+		q.moved = 0
+		q.stalledSince = now
+	}
+	if q.inBody && now-q.deadlineAt >= deadlineInterval {
+		c.extendRead(q, now)
+	}
+	c.mu.Unlock()
+	return nil
+}
+
+// finishRead ends the reading of a request; from then on it can't be refused for want of memory by another connection.
+func (c *conn) finishRead(q *incomingRequest) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.incoming = nil
 	c.hasHadRequest = true
 	c.idleSince = c.server.clock.Now()
-	if c.evicted {
+	if c.evicted || q.evicted {
 		return errEvicted
 	}
 	return nil
@@ -269,9 +325,10 @@
 	switch {
 	case connEvicted:
 		c.cancel()
+	case q.evicted && !q.isStarted:
 	case errors.As(err, &f):
 		c.refuse(http.StatusRequestEntityTooLarge)
-	case errors.Is(err, budget.ErrExhausted), errors.Is(err, budget.ErrBodyTooLarge):
+	case q.evicted, errors.Is(err, budget.ErrExhausted), errors.Is(err, budget.ErrBodyTooLarge):
 		c.server.metrics.Count("inlet.bodies_refused", 1)
 		c.refuse(http.StatusServiceUnavailable)
 	case errors.Is(err, errHeadTooLarge):
--- a/inlet/stalled_test.go
+++ b/inlet/stalled_test.go
@@ -30,6 +30,44 @@
 }
 
 func TestStalledTransfers(t *testing.T) {
+	convey.Convey("A body that makes no progress is refused as not run, and one that makes progress is served", t, func() {
+		s := startWith(t, echo, inlet.WithStallTimeout(1_500))
+		c, r := dial(s)
+		_, _ = io.WriteString(c, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n")
+		for range 4 {
+			time.Sleep(700 * time.Millisecond)
+			_, _ = io.WriteString(c, "x")
+		}
+		resp, err := http.ReadResponse(r, nil)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(resp.StatusCode, convey.ShouldEqual, http.StatusOK)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_, _ = io.WriteString(c, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nxxx")
+		resp, err = http.ReadResponse(r, nil)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(resp.StatusCode, convey.ShouldEqual, http.StatusRequestTimeout)
+	})
+	convey.Convey("A body that has stalled gives way to another one: it is refused as not run, behind the reply before it", t, func() {
+		memory := budget.New(1<<20, budget.WithBodyLimit(1<<20))
+		s := startWith(t, echo, inlet.WithBudget(memory))
+		stalled, r := dial(s)
+		_, _ = io.WriteString(stalled, "GET /first HTTP/1.1\r\nHost: h\r\n\r\nPOST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 700000\r\n\r\n"+strings.Repeat("x", 600_000))
+		time.Sleep(stallTime)
+		c, served := dial(s)
+		_, _ = io.WriteString(c, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 500000\r\n\r\n"+strings.Repeat("x", 500_000))
+		resp, err := http.ReadResponse(served, nil)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(resp.StatusCode, convey.ShouldEqual, http.StatusOK)
+		for _, status := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+			resp, err := http.ReadResponse(r, nil)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(resp.StatusCode, convey.ShouldEqual, status)
+			_, _ = io.Copy(io.Discard, resp.Body)
+		}
+		_ = c.Close()
+		_ = stalled.Close()
+		convey.So(eventually(func() bool { return memory.Used() == 0 }), convey.ShouldBeTrue)
+	})
 	convey.Convey("A reply that nobody reads gives way to a request", t, func() {
 		long := func(_ context.Context, r *http.Request, body []byte) pomelo.Reply {
 			if r.URL.Path == "/long" {
--- a/inlet/wait.go
+++ b/inlet/wait.go
@@ -2,12 +2,13 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/pomeloworks/pomelo"
 )
 
-// errEvicted ends the reading of a connection that was closed for want of memory or descriptors.
+// errEvicted ends the reading of a connection that was closed, or of a request that was refused, for want of memory or descriptors.
 var errEvicted = errors.New("the connection was evicted")
 
 var _ pomelo.ClientConn = (*conn)(nil)
@@ -22,6 +23,9 @@
 	if since := c.writeStall.Load(); since != 0 {
 		return pomelo.ClientWait{Kind: pomelo.WaitReader, Since: pomelo.Millis(since), Bytes: c.heldBytes()}
 	}
+	if q := c.incoming; q != nil && !q.evicted {
+		return pomelo.ClientWait{Kind: pomelo.WaitRequest, Since: q.stalledSince, Bytes: q.memory.Bytes()}
+	}
 	if c.inFlight == 0 && c.incoming == nil && !c.closing {
 		kind := pomelo.WaitNew
 		if c.hasHadRequest {
@@ -58,6 +62,8 @@
 		}
 		c.abandon()
 		return true
+	case pomelo.WaitRequest:
+		return c.refuseIncoming(w)
 	case pomelo.WaitNew, pomelo.WaitIdle:
 		if c.inFlight > 0 || c.incoming != nil || c.idleSince != w.Since {
 			return false
@@ -68,6 +74,18 @@
 	return false
 }
 
+// refuseIncoming refuses the request that is being read, behind the replies of those before it; mu must be locked.
+func (c *conn) refuseIncoming(w pomelo.ClientWait) bool {
+	q := c.incoming
+	if q == nil || q.evicted || q.stalledSince != w.Since {
+		return false
+	}
+	q.evicted = true
+	q.memory.Release()
+	_ = c.SetReadDeadline(time.Unix(1, 0))
+	return true
+}
+
 // abandon resets the connection and gives back its memory at once; mu must be locked.
 func (c *conn) abandon() {
 	c.evicted = true
