inlet: the fields of a head count as memory

What callers saw: the same end of a process, by heads within the byte limit.

Cause: a field of 4 bytes takes some 200 in the parsed head. Heads were bounded in bytes only, and not counted.

Evidence, on: 600 heads of 4,000 fields within 16 KiB take 150 MB of 128 (TestCrowdShortFields).

Change: each line of a head counts 256 bytes and each byte 4, as they arrive; a head for which there is no memory is refused with 503, and one that has stalled gives way like a body.

--- a/inlet/conn.go
+++ b/inlet/conn.go
@@ -216,7 +216,8 @@
 	_ = c.SetReadDeadline(time.Now().Add(l.HeadTimeout.Duration()))
 	c.mu.Unlock()
 	q.isStarted = true
-	return q.memory.Take(callBytes)
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	return q.memory.Take(callBytes + hold.OfHead(buffered))
 }
 
 // startBody ends the time for the head; a body has time as long as it makes progress.
@@ -252,8 +253,12 @@
 	if q.inBody && now-q.deadlineAt >= deadlineInterval {
 		c.extendRead(q, now)
 	}
+	inBody := q.inBody
 	c.mu.Unlock()
-	return nil
+	if inBody {
+		return nil
+	}
+	return q.memory.Take(hold.OfHead(b))
 }
 
 // finishRead ends the reading of a request; from then on it can't be refused for want of memory by another connection.
@@ -288,7 +293,7 @@
 func (c *conn) dispatch(q *incomingRequest) {
 	r, body, memory := q.http, q.body, q.memory
 	s := &pendingReply{reply: make(chan pomelo.Reply, 1), noBody: r.Method == http.MethodHead, memory: memory}
-	memory.Set(callBytes + int64(cap(body)))
+	memory.Set(callBytes + hold.OfFields(r.Header) + int64(cap(body)))
 	c.mu.Lock()
 	if c.hasLastReply || c.evicted {
 		c.mu.Unlock()
