inlet: one empty line before a request is skipped

What callers saw: 400 for a request behind an empty line, which RFC 9112, section 2.2, asks servers to ignore.

Cause: http.ReadRequest takes the empty line as the request line.

Change: one empty line before a request is skipped; a second one is refused with 400, so that lines without an end are no way to hold a connection. An empty line behind which nothing comes is no request and gets no answer.

Evidence: TestEmptyLineBeforeRequest fails on the commit before: 400 where 200 is expected, and a 400 to a lone line.

--- a/inlet/conn.go
+++ b/inlet/conn.go
@@ -79,7 +79,7 @@
 	http   *http.Request
 	body   []byte
 	memory *hold.Hold
-	// isStarted is set once bytes of it have arrived.
+	// isStarted is set once bytes of it have arrived, besides an empty line.
 	isStarted bool
 	// inBody is set once the head was read.
 	inBody bool
@@ -203,7 +203,7 @@
 	}
 }
 
-// startRequest begins the time and the memory of a request, of which the first byte has arrived.
+// startRequest begins the time and the memory of a request, of which the first byte has arrived, and skips one empty line before it (RFC 9112, section 2.2).
 func (c *conn) startRequest(q *incomingRequest, l pomelo.TrafficLimits) error {
 	c.mu.Lock()
 	if c.evicted {
@@ -215,11 +215,39 @@
 	c.incoming = q
 	_ = c.SetReadDeadline(time.Now().Add(l.HeadTimeout.Duration()))
 	c.mu.Unlock()
+	if err := c.skipEmptyLine(); err != nil {
+		return err
+	}
 	q.isStarted = true
 	buffered, _ := c.reader.Peek(c.reader.Buffered())
 	return q.memory.Take(callBytes + hold.OfHead(buffered))
 }
 
+func (c *conn) skipEmptyLine() error {
+	b, err := c.reader.Peek(1)
+	if err != nil {
+		return err
+	}
+	line := 0
+	switch b[0] {
+	case '\n':
+		line = 1
+	case '\r':
+		if b, err = c.reader.Peek(2); err != nil {
+			return err
+		}
+		if b[1] == '\n' {
+			line = 2
+		}
+	}
+	if line == 0 {
+		return nil
+	}
+	_, _ = c.reader.Discard(line)
+	_, err = c.reader.Peek(1)
+	return err
+}
+
 // startBody ends the time for the head; a body has time as long as it makes progress.
 func (c *conn) startBody(q *incomingRequest) {
 	c.mu.Lock()
--- a/inlet/stalled_test.go
+++ b/inlet/stalled_test.go
@@ -29,6 +29,37 @@
 	return s
 }
 
+func TestEmptyLineBeforeRequest(t *testing.T) {
+	convey.Convey("One empty line before a request is skipped, and a second one is refused", t, func() {
+		s := start(t, echo, pomelo.TrafficLimits{})
+		for sent, status := range map[string]int{
+			"\r\n":     http.StatusOK,
+			"\n":       http.StatusOK,
+			"\r\n\r\n": http.StatusBadRequest,
+		} {
+			c, r := dial(s)
+			for range 2 {
+				_, _ = io.WriteString(c, sent+"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+				resp, err := http.ReadResponse(r, nil)
+				convey.So(err, convey.ShouldBeNil)
+				convey.So(resp.StatusCode, convey.ShouldEqual, status)
+				if status != http.StatusOK {
+					break
+				}
+			}
+			_ = c.Close()
+		}
+	})
+	convey.Convey("An empty line after which nothing comes is no request: the connection closes without a reply", t, func() {
+		s := start(t, echo, pomelo.TrafficLimits{HeadTimeout: 100})
+		c, _ := dial(s)
+		_, _ = io.WriteString(c, "\r\n")
+		b, err := io.ReadAll(c)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(string(b), convey.ShouldBeBlank)
+	})
+}
+
 func TestStalledTransfers(t *testing.T) {
 	convey.Convey("A body that makes no progress is refused as not run, and one that makes progress is served", t, func() {
 		s := startWith(t, echo, inlet.WithStallTimeout(1_500))
