inlet: a body in chunks of a byte is served up to the body limit

What callers saw: 431 for a legal body in small chunks.

Cause: the limit of bytes on the connection was max_body_bytes and a head; chunks of a byte take six for each.

Change: eight times max_body_bytes may arrive for a body; its data are bounded by max_body_bytes as before, and the framing by net/http.

Evidence: TestSmallChunks fails on the commit before: 431 where 200 is expected.

--- a/inlet/conn.go
+++ b/inlet/conn.go
@@ -31,6 +31,8 @@
 	pieceBytes = 64 << 10
 	// deadlineInterval is the least time between two extensions of a transfer's deadline, in milliseconds.
 	deadlineInterval = pomelo.Millis(1_000)
+	// chunkOverhead is the maximum ratio of a chunked body's bytes on the wire to its data.
+	chunkOverhead = 8
 )
 
 // Estimated memory in bytes.
@@ -179,7 +181,7 @@
 		return bodyTooLarge()
 	}
 	c.startBody(q)
-	c.input.remaining = int64(l.BodyBytes) + int64(l.HeadBytes)
+	c.input.remaining = chunkOverhead*int64(l.BodyBytes) + int64(l.HeadBytes)
 	if r.Header.Get("Expect") != "" && r.ContentLength != 0 {
 		_, _ = io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
--- a/inlet/stalled_test.go
+++ b/inlet/stalled_test.go
@@ -60,6 +60,19 @@
 	})
 }
 
+func TestSmallChunks(t *testing.T) {
+	convey.Convey("A body within the limit is served though it comes in chunks of a byte", t, func() {
+		s := start(t, echo, pomelo.TrafficLimits{BodyBytes: 100_000, HeadBytes: 4_000})
+		c, r := dial(s)
+		defer func() { _ = c.Close() }()
+		_, _ = io.WriteString(c, "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"+strings.Repeat("1\r\nx\r\n", 100_000)+"0\r\n\r\n")
+		resp, err := http.ReadResponse(r, nil)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(resp.StatusCode, convey.ShouldEqual, http.StatusOK)
+		convey.So(resp.ContentLength, convey.ShouldEqual, 100_000)
+	})
+}
+
 func TestStalledTransfers(t *testing.T) {
 	convey.Convey("A body that makes no progress is refused as not run, and one that makes progress is served", t, func() {
 		s := startWith(t, echo, inlet.WithStallTimeout(1_500))
