inlet: connections of callers leave descriptors to everything else

What callers saw: with max_fds in use, nothing more was accepted, and connections to upstreams, peers and the store failed as well.

Cause: nothing read max_fds.

--- a/host_settings.go
+++ b/host_settings.go
@@ -11,8 +11,10 @@
 	Service         string
 	UpstreamAddress string
 	// FirstStart marks the first start of the whole fleet.
-	FirstStart     bool
+	FirstStart bool
+	// MemoryBytes is the memory of the process, and MaxDescriptors the maximum number of its descriptors; 0 if the platform states none.
 	MemoryBytes    int
+	MaxDescriptors int
 	CallerAddress  string
 	ReadyAddress   string
 	ControlAddress string
--- a/inlet/server.go
+++ b/inlet/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -21,6 +20,7 @@
 	defaultHeadBytes   = 16 << 10
 	defaultBodyBytes   = 64 << 20
 	defaultBudgetBytes = 128 << 20
+	defaultMaxConns    = 1_024
 	// defaultStallTimeout is the time in which a body or the reader of a reply must make progress.
 	defaultStallTimeout = pomelo.Millis(20_000)
 	// acceptRetryDelay applies after a failed accept, such as when file descriptors run out.
@@ -38,6 +38,7 @@
 	handler  Handler
 	limits   func() pomelo.TrafficLimits
 	listener net.Listener
+	maxConns int
 	conns    *evict.Table
 	// accepting ends with Close.
 	accepting     context.Context
@@ -54,13 +55,13 @@
 
 // New returns a server that calls limits for each request.
 func New(clock pomelo.Clock, log pomelo.Logger, metrics pomelo.Metrics, handler Handler, limits func() pomelo.TrafficLimits, opts ...func(*Server)) *Server {
-	s := &Server{clock: clock, log: log, metrics: metrics, handler: handler, limits: limits, budget: budget.New(defaultBudgetBytes), stallTimeout: defaultStallTimeout, guard: guard.New(log)}
+	s := &Server{clock: clock, log: log, metrics: metrics, handler: handler, limits: limits, budget: budget.New(defaultBudgetBytes), maxConns: defaultMaxConns, stallTimeout: defaultStallTimeout, guard: guard.New(log)}
 	s.requestContext, s.cancelRequests = context.WithCancel(context.Background())
 	s.accepting, s.stopAccepting = context.WithCancel(context.Background())
 	for _, o := range opts {
 		o(s)
 	}
-	s.conns = evict.New(clock, log, metrics, "callers", math.MaxInt)
+	s.conns = evict.New(clock, log, metrics, "callers", s.maxConns)
 	s.budget.OnShortage(s.conns.Reclaim)
 	return s
 }
@@ -70,6 +71,11 @@
 	return func(s *Server) { s.budget = b }
 }
 
+// WithMaxConns sets the maximum number of open connections; idle ones are closed for new ones.
+func WithMaxConns(n int) func(*Server) {
+	return func(s *Server) { s.maxConns = n }
+}
+
 // WithStallTimeout sets the time, in milliseconds, after which a body or the reader of a reply that makes no progress is given up; 0 leaves the default.
 func WithStallTimeout(d pomelo.Millis) func(*Server) {
 	return func(s *Server) {
--- a/inlet/stalled_test.go
+++ b/inlet/stalled_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -134,3 +135,34 @@
 		_ = unread.Close()
 	})
 }
+
+func TestMaxConns(t *testing.T) {
+	convey.Convey("A connection over the maximum takes the place of the one that has been idle longest, and not of one with a running request", t, func() {
+		running := make(chan struct{})
+		h := func(_ context.Context, r *http.Request, body []byte) pomelo.Reply {
+			if r.URL.Path == "/wait" {
+				<-running
+			}
+			return echo(context.Background(), r, body)
+		}
+		s := startWith(t, h, inlet.WithMaxConns(2))
+		busy, r := dial(s)
+		_, _ = io.WriteString(busy, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+		for range 5 {
+			idle, _ := dial(s)
+			c, served := dial(s)
+			_, _ = fmt.Fprint(c, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+			resp, err := http.ReadResponse(served, nil)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(resp.StatusCode, convey.ShouldEqual, http.StatusOK)
+			_, err = idle.Read(make([]byte, 1))
+			convey.So(err, convey.ShouldNotBeNil)
+			_ = c.Close()
+		}
+		close(running)
+		resp, err := http.ReadResponse(r, nil)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(resp.StatusCode, convey.ShouldEqual, http.StatusOK)
+		_ = busy.Close()
+	})
+}
--- a/mesh/components.go
+++ b/mesh/components.go
@@ -285,7 +285,7 @@
 		}
 		return p.Limits()
 	}
-	return inlet.New(c, log, m, i.Handle, limits, inlet.WithBudget(bodies), inlet.WithStallTimeout(n.settings.StallTimeout))
+	return inlet.New(c, log, m, i.Handle, limits, inlet.WithBudget(bodies), inlet.WithMaxConns(n.limits().Callers()), inlet.WithStallTimeout(n.settings.StallTimeout))
 }
 
 func newSeed() uint64 {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -157,7 +157,7 @@
 
 // limits returns the limits of the process.
 func (n *Node) limits() room.Limits {
-	return room.Limits{MemoryBytes: n.settings.MemoryBytes}
+	return room.Limits{MemoryBytes: n.settings.MemoryBytes, Descriptors: n.settings.MaxDescriptors}
 }
 
 func (n *Node) serve(address string, h http.Handler) error {
