mesh: the listeners for probes, heartbeats and metrics are bounded

What callers saw: a node taken for dead, since its probes found no descriptor or no answer.

Cause: net/http accepts without a bound, and reads a scrape's answer out for any time.

Change: package bound limits the connections of a server of net/http in the same way, and counts their heads as memory; a head has 4 KiB, a response 10 s.

Failed tries: with connections between two requests kept for 100 ms like new ones, 25 clients that asked for metrics every 30 ms held all places, and a probe was not answered within 60 s.

--- a/mesh/components.go
+++ b/mesh/components.go
@@ -85,6 +85,7 @@
 	Queue        *queue.Queue
 	Subsets      *subset.Chooser
 	Usage        *usage.Meter
+	Budget       *budget.Budget
 }
 
 func providers() fx.Option {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/bound"
+	"github.com/pomeloworks/pomelo/evict"
 	"github.com/pomeloworks/pomelo/metric"
 	"github.com/pomeloworks/pomelo/room"
 	"go.uber.org/fx"
@@ -20,6 +22,7 @@
 const (
 	readHeaderTimeout = pomelo.Millis(3_000)
 	readTimeout       = pomelo.Millis(6_000)
+	writeTimeout      = pomelo.Millis(10_000)
 	// idleTimeout exceeds every interval of heartbeats and probes.
 	idleTimeout = pomelo.Millis(60_000)
 	// ownershipPoll is the interval between checks whether this process is the sole owner of its resources.
@@ -33,7 +36,7 @@
 )
 
 // maxControlHeadBytes is the maximum size of the head of a heartbeat or a probe, in bytes.
-const maxControlHeadBytes = 16 << 10
+const maxControlHeadBytes = 4 << 10
 
 // Node is the process that runs next to an upstream on the users' platform.
 type Node struct {
@@ -141,14 +144,14 @@
 	if err := n.components.Listen.Start(s.PeerAddress); err != nil {
 		return err
 	}
-	if err := n.serve(s.ControlAddress, n.host.Control(n.components.Worker, s.Service, n.components.Log)); err != nil {
+	if err := n.serve("control", s.ControlAddress, n.host.Control(n.components.Worker, s.Service, n.components.Log)); err != nil {
 		return err
 	}
-	if err := n.serve(s.ReadyAddress, n.host.Ready(n.Ready)); err != nil {
+	if err := n.serve("ready", s.ReadyAddress, n.host.Ready(n.Ready)); err != nil {
 		return err
 	}
 	if n.metricsPort != "" {
-		if err := n.serve(net.JoinHostPort(s.IP, n.metricsPort), n.metricsHandler()); err != nil {
+		if err := n.serve("metrics", net.JoinHostPort(s.IP, n.metricsPort), n.metricsHandler()); err != nil {
 			return err
 		}
 	}
@@ -160,15 +163,20 @@
 	return room.Limits{MemoryBytes: n.settings.MemoryBytes, Descriptors: n.settings.MaxDescriptors}
 }
 
-func (n *Node) serve(address string, h http.Handler) error {
+// serve serves a listener of this name besides that for callers.
+func (n *Node) serve(name, address string, h http.Handler) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return pomelo.NewFault(pomelo.KindBadSettings, "can't listen: "+err.Error(), "check the addresses in the settings file")
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout.Duration(), ReadTimeout: readTimeout.Duration(), IdleTimeout: idleTimeout.Duration(), MaxHeaderBytes: maxControlHeadBytes}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout.Duration(), ReadTimeout: readTimeout.Duration(), WriteTimeout: writeTimeout.Duration(), IdleTimeout: idleTimeout.Duration(), MaxHeaderBytes: maxControlHeadBytes}
 	n.servers = append(n.servers, s)
+	c := n.components
+	table := evict.New(c.Clock, c.Log, c.Metrics, name, n.limits().Others())
+	c.Budget.OnShortage(table.Reclaim)
+	bounded := bound.New(l, c.Clock, table, bound.WithBudget(c.Budget))
 	go func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := bound.Serve(s, bounded); !errors.Is(err, http.ErrServerClosed) {
 			n.components.Log.Warn("listener_failed", "address", address, "error", err.Error())
 		}
 	}()
