pomelo node: memory and descriptors for callers, upstream and operators are bounded

What callers saw: nodes out of memory or descriptors, by the same habits.

Cause: the listeners of net/http had no bound on connections or on the time of a body; bodies were not counted; an announcement was decoded without a limit of size; heads of operators and of the upstream had net/http's 1 MiB.

Change: settings limits.memory_mb, limits.max_fds and limits.stall_timeout_ms; the listeners are bound's, over HTTP/2 with 32 requests at once; an announcement has 64 KiB, an operator's head 16 KiB. A stop ends requests that make no progress instead of waiting for them.

--- a/admin/command.go
+++ b/admin/command.go
@@ -7,6 +7,7 @@
 	"github.com/gin-gonic/gin"
 	"github.com/google/uuid"
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/bound"
 )
 
 // maxBodyBytes is the maximum size of a request body.
@@ -24,7 +25,12 @@
 	if r.ID == "" {
 		r.ID = uuid.Must(uuid.NewV7()).String()
 	}
-	out, err := s.execute(g.Request.Context(), r)
+	var out pomelo.CommandResult
+	var err error
+	ctx := g.Request.Context()
+	if !bound.Run(ctx, func() { out, err = s.execute(ctx, r) }) {
+		return
+	}
 	out.ID = r.ID
 	s.audit(g, r, out, err)
 	if err != nil {
--- a/admin/server.go
+++ b/admin/server.go
@@ -13,12 +13,15 @@
 	"github.com/cockroachdb/errors"
 	"github.com/gin-gonic/gin"
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/bound"
 	"github.com/pomeloworks/pomelo/query"
 )
 
 const (
 	bearer            = "Bearer "
 	readHeaderTimeout = pomelo.Millis(10_000)
+	// maxHeadBytes is the maximum size of a request's head.
+	maxHeadBytes = 16 << 10
 )
 
 // Server serves POST /command, GET /burn, GET /metrics and GET /health.
@@ -29,13 +32,14 @@
 	metrics     func(io.Writer) error
 	log         pomelo.Logger
 	tokenHashes []string
+	bind        func(net.Listener) net.Listener
 	http        *http.Server
 	listener    net.Listener
 }
 
 // New returns a server that runs parsed commands through run and writes metrics as JSON through metrics.
 func New(parser *query.Parser, run func(context.Context, pomelo.CommandRequest, pomelo.Command) (pomelo.CommandResult, error), metrics func(io.Writer) error, log pomelo.Logger, opts ...func(*Server)) *Server {
-	s := &Server{parser: parser, run: run, metrics: metrics, log: log}
+	s := &Server{parser: parser, run: run, metrics: metrics, log: log, bind: func(l net.Listener) net.Listener { return l }}
 	for _, o := range opts {
 		o(s)
 	}
@@ -49,7 +53,7 @@
 	if s.burn != nil {
 		g.GET("/burn", s.authorize, s.handleBurn)
 	}
-	s.http = &http.Server{Handler: g, ReadHeaderTimeout: readHeaderTimeout.Duration()}
+	s.http = &http.Server{Handler: bound.Handler(g), ReadHeaderTimeout: readHeaderTimeout.Duration(), MaxHeaderBytes: maxHeadBytes}
 	return s
 }
 
@@ -63,6 +67,11 @@
 	return func(s *Server) { s.burn = report }
 }
 
+// WithListener sets the function that wraps the listener, such as one that bounds its connections.
+func WithListener(bind func(net.Listener) net.Listener) func(*Server) {
+	return func(s *Server) { s.bind = bind }
+}
+
 // Start listens on the TCP address and serves in the background; the error is KindBadSettings when it can't listen.
 func (s *Server) Start(address string) error {
 	l, err := net.Listen("tcp", address)
@@ -70,8 +79,9 @@
 		return pomelo.NewFault(pomelo.KindBadSettings, "can't listen for operators: "+err.Error(), "choose another admin.address")
 	}
 	s.listener = l
+	bounded := s.bind(l)
 	go func() {
-		if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := bound.Serve(s.http, bounded); !errors.Is(err, http.ErrServerClosed) {
 			s.log.Warn("admin_listener_failed", "error", err.Error())
 		}
 	}()
@@ -96,7 +106,8 @@
 }
 
 func (s *Server) handleBurn(g *gin.Context) {
-	g.JSON(http.StatusOK, s.burn(g.Request.Context()))
+	ctx := g.Request.Context()
+	bound.Run(ctx, func() { g.JSON(http.StatusOK, s.burn(ctx)) })
 }
 
 func (s *Server) authorize(g *gin.Context) {
--- a/cmd/pomelo/cmd_node.go
+++ b/cmd/pomelo/cmd_node.go
@@ -24,6 +24,7 @@
 	if err != nil {
 		return err
 	}
+	limitMemory(settings.Limits.MemoryMB << 20)
 	n, err := wiring.New(settings, wiring.WithOutput(c.Errors))
 	if err != nil {
 		return err
--- a/cmd/pomelo/cmd_sidecar.go
+++ b/cmd/pomelo/cmd_sidecar.go
@@ -60,8 +60,7 @@
 	}
 	settings.Features = features
 	settings.StallTimeout = pomelo.Millis(*stall)
-	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryBytes)))
+	limitMemory(settings.MemoryBytes)
 	metrics := metric.New()
 	n, err := mesh.New(settings, platformHost(settings, metrics), mesh.WithOutput(c.Output), mesh.WithMetricsPort(*port), mesh.WithMetrics(metrics))
 	if err != nil {
@@ -76,6 +75,14 @@
 	return nil
 }
 
+// limitMemory has the garbage collector keep a process within its memory of this many bytes.
+func limitMemory(bytes int) {
+	debug.SetGCPercent(gcPercent)
+	if bytes > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(bytes)))
+	}
+}
+
 func platformHost(s pomelo.HostSettings, metrics pomelo.Metrics) mesh.Host {
 	return mesh.Host{
 		Store:            platform.NewStore(s.StoreURL, metrics, platform.WithBodies(budget.New(storeBodyBytes))),
--- a/entry/accept.go
+++ b/entry/accept.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,6 +11,7 @@
 	"github.com/gin-gonic/gin"
 	"github.com/google/uuid"
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/bound"
 )
 
 const bearerPrefix = "Bearer "
@@ -107,10 +107,10 @@
 }
 
 func (s *Server) readBody(c *pomelo.Call, r *http.Request) error {
-	b, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, int64(s.maxBodyBytes)))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return pomelo.NewFault(pomelo.KindTooLarge, "the body is over the limit", "send a smaller body")
+	b, err := bound.ReadBody(r, int64(s.maxBodyBytes))
+	var f *pomelo.Fault
+	if errors.As(err, &f) {
+		return f
 	}
 	if err != nil {
 		return pomelo.NewFault(pomelo.KindBadRequest, "the body was cut short", "send the whole body")
--- a/entry/server.go
+++ b/entry/server.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/gin-gonic/gin"
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/bound"
 )
 
 const (
@@ -30,6 +31,7 @@
 	log          pomelo.Logger
 	outcomes     pomelo.OutcomeRecorder
 	tls          *tls.Config
+	bind         func(net.Listener) net.Listener
 	maxBodyBytes int
 	maxHeadBytes int
 	timeout      pomelo.Millis
@@ -52,6 +54,7 @@
 		maxHeadBytes: defaultHeadBytes,
 		timeout:      defaultTimeout,
 		retries:      defaultRetries,
+		bind:         func(l net.Listener) net.Listener { return l },
 	}
 	for _, o := range opts {
 		o(s)
@@ -60,7 +63,7 @@
 	g := gin.New()
 	g.NoRoute(s.handle)
 	s.http = &http.Server{
-		Handler:           g,
+		Handler:           bound.Handler(g),
 		ReadHeaderTimeout: readHeaderTimeout.Duration(),
 		MaxHeaderBytes:    s.maxHeadBytes,
 	}
@@ -87,6 +90,11 @@
 	return func(s *Server) { s.tls = c }
 }
 
+// WithListener sets the function that wraps the listener, such as one that bounds its connections.
+func WithListener(bind func(net.Listener) net.Listener) func(*Server) {
+	return func(s *Server) { s.bind = bind }
+}
+
 // Start listens on the address and serves in the background; an address that can't be used is KindBadSettings.
 func (s *Server) Start(address string) error {
 	l, err := net.Listen("tcp", address)
@@ -94,6 +102,7 @@
 		return pomelo.NewFault(pomelo.KindBadSettings, "can't listen for callers: "+err.Error(), "choose another caller.address")
 	}
 	s.listener = l
+	l = s.bind(l)
 	if s.tls != nil {
 		l = tls.NewListener(l, s.tls)
 	}
@@ -122,7 +131,7 @@
 }
 
 func (s *Server) serve(l net.Listener) {
-	err := s.http.Serve(l)
+	err := bound.Serve(s.http, l)
 	if !errors.Is(err, http.ErrServerClosed) {
 		s.log.Warn("caller_listener_failed", "error", err.Error())
 	}
@@ -138,7 +147,11 @@
 		s.writeAnswer(g, c, pomelo.Refuse(c.ID, pomelo.FaultOf(err)))
 		return
 	}
-	a := s.next.Handle(g.Request.Context(), c)
+	ctx := g.Request.Context()
+	var a pomelo.Answer
+	if !bound.Run(ctx, func() { a = s.next.Handle(ctx, c) }) {
+		a = pomelo.Refuse(c.ID, pomelo.NewFault(pomelo.KindCanceled, "the connection was closed", "send the request again"))
+	}
 	if c.Account != "" && a.Refusal != nil && a.Refusal.Ran == pomelo.RanNo {
 		s.rates.Refund(c.Account)
 	}
--- a/entry/write.go
+++ b/entry/write.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/gin-gonic/gin"
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/bound"
 )
 
 // writeAnswer writes the upstream's answer, or the refusal as JSON, with the root request's id in a header.
@@ -19,7 +20,7 @@
 		g.Writer.Header()[k] = v
 	}
 	g.Status(a.Status)
-	if _, err := g.Writer.Write(a.Body); err != nil {
+	if err := bound.Write(g.Request.Context(), g.Writer, a.Body); err != nil {
 		s.log.Debug("caller_gone", "root", c.RootID, "error", err.Error())
 	}
 }
--- a/local/server.go
+++ b/local/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -10,12 +9,16 @@
 	"github.com/cockroachdb/errors"
 	"github.com/gin-gonic/gin"
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/bound"
 	"github.com/pomeloworks/pomelo/ledger"
 )
 
 const (
-	defaultBodyBytes  = 1 << 20
-	readHeaderTimeout = pomelo.Millis(10_000)
+	defaultBodyBytes = 1 << 20
+	defaultHeadBytes = 64 << 10
+	// maxAnnouncementBytes is the maximum size of an announcement.
+	maxAnnouncementBytes = 64 << 10
+	readHeaderTimeout    = pomelo.Millis(10_000)
 )
 
 // Server is the HTTP listener for the upstream of this node.
@@ -26,6 +29,8 @@
 	onAnnounce   func(pomelo.Upstream)
 	log          pomelo.Logger
 	maxBodyBytes int
+	maxHeadBytes int
+	bind         func(net.Listener) net.Listener
 	http         *http.Server
 	listener     net.Listener
 }
@@ -39,6 +44,8 @@
 		onAnnounce:   onAnnounce,
 		log:          log,
 		maxBodyBytes: defaultBodyBytes,
+		maxHeadBytes: defaultHeadBytes,
+		bind:         func(l net.Listener) net.Listener { return l },
 	}
 	for _, o := range opts {
 		o(s)
@@ -48,7 +55,7 @@
 	g.POST(pomelo.PathAnnounce, s.handleAnnounce)
 	g.DELETE(pomelo.PathAnnounce, s.handleWithdraw)
 	g.Any(pomelo.PathCall+":service/*path", s.handleCall)
-	s.http = &http.Server{Handler: g, ReadHeaderTimeout: readHeaderTimeout.Duration()}
+	s.http = &http.Server{Handler: bound.Handler(g), ReadHeaderTimeout: readHeaderTimeout.Duration(), MaxHeaderBytes: s.maxHeadBytes}
 	return s
 }
 
@@ -57,6 +64,16 @@
 	return func(s *Server) { s.maxBodyBytes = n }
 }
 
+// WithHeadLimit sets the maximum size of a sub-call's head in bytes.
+func WithHeadLimit(n int) func(*Server) {
+	return func(s *Server) { s.maxHeadBytes = n }
+}
+
+// WithListener sets the function that wraps the listener, such as one that bounds its connections.
+func WithListener(bind func(net.Listener) net.Listener) func(*Server) {
+	return func(s *Server) { s.bind = bind }
+}
+
 // Start listens on a loopback address and serves in the background; an address that can't be used is KindBadSettings.
 func (s *Server) Start(address string) error {
 	l, err := net.Listen("tcp", address)
@@ -64,7 +81,7 @@
 		return pomelo.NewFault(pomelo.KindBadSettings, "can't listen for the upstream: "+err.Error(), "choose another upstream.address")
 	}
 	s.listener = l
-	go s.serve(l)
+	go s.serve(s.bind(l))
 	return nil
 }
 
@@ -79,7 +96,7 @@
 }
 
 func (s *Server) serve(l net.Listener) {
-	err := s.http.Serve(l)
+	err := bound.Serve(s.http, l)
 	if !errors.Is(err, http.ErrServerClosed) {
 		s.log.Warn("upstream_listener_failed", "error", err.Error())
 	}
@@ -87,6 +104,7 @@
 
 func (s *Server) handleAnnounce(g *gin.Context) {
 	var u pomelo.Upstream
+	g.Request.Body = http.MaxBytesReader(g.Writer, g.Request.Body, maxAnnouncementBytes)
 	if err := g.ShouldBindJSON(&u); err != nil || u.Service == "" || u.Address == "" {
 		s.writeRefusal(g, pomelo.NewFault(pomelo.KindBadRequest, "the announcement can't be read", "send service and address as JSON"))
 		return
@@ -117,14 +135,19 @@
 	defer cancel()
 	stop := context.AfterFunc(g.Request.Context(), cancel)
 	defer stop()
-	a := s.next.Handle(ctx, c)
+	a := pomelo.Refuse(c.ID, pomelo.NewFault(pomelo.KindCanceled, "the connection was closed", "send the call again"))
+	bound.Run(g.Request.Context(), func() { a = s.next.Handle(ctx, c) })
 	s.ledger.FinishSubCall(token, a)
 	s.writeAnswer(g, a)
 }
 
 func (s *Server) readCall(g *gin.Context) (pomelo.Call, error) {
 	r := g.Request
-	b, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, int64(s.maxBodyBytes)))
+	b, err := bound.ReadBody(r, int64(s.maxBodyBytes))
+	var f *pomelo.Fault
+	if errors.As(err, &f) {
+		return pomelo.Call{}, f
+	}
 	if err != nil {
 		return pomelo.Call{}, pomelo.NewFault(pomelo.KindTooLarge, "the body can't be read whole: "+err.Error(), "send a smaller body")
 	}
@@ -163,7 +186,7 @@
 		g.Writer.Header()[k] = v
 	}
 	g.Status(a.Status)
-	if _, err := g.Writer.Write(a.Body); err != nil {
+	if err := bound.Write(g.Request.Context(), g.Writer, a.Body); err != nil {
 		s.log.Debug("upstream_gone", "call", a.CallID, "error", err.Error())
 	}
 }
--- a/serve/exchange.go
+++ b/serve/exchange.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/budget"
+	"github.com/pomeloworks/pomelo/hold"
 	"github.com/pomeloworks/pomelo/strict"
 )
 
@@ -47,9 +49,13 @@
 	if id := resp.Header.Get(headerCallID); id != "" && id != c.ID {
 		return pomelo.Answer{}, upstreamFault("the upstream answered another request", pomelo.RanUnknown)
 	}
-	body, err := io.ReadAll(resp.Body)
+	length := resp.ContentLength
+	if c.Method == http.MethodHead {
+		length = 0
+	}
+	body, err := hold.FromContext(ctx).ReadAnswer(ctx, resp.Body, length, int64(s.bodyLimit))
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	if errors.As(err, &tooLarge) || errors.Is(err, budget.ErrBodyTooLarge) {
 		return pomelo.Answer{}, upstreamFault("the upstream's answer is over the body limit", pomelo.RanYes)
 	}
 	if err != nil {
--- a/settings.go
+++ b/settings.go
@@ -49,8 +49,13 @@
 
 // LimitSettings bound requests and the node's own work; times are in milliseconds.
 type LimitSettings struct {
-	BodyBytes      int    `json:"body_bytes"`
-	HeadBytes      int    `json:"head_bytes"`
+	BodyBytes int `json:"body_bytes"`
+	HeadBytes int `json:"head_bytes"`
+	// MemoryMB and Descriptors are the memory in MiB and the number of descriptors that the process may use.
+	MemoryMB    int `json:"memory_mb"`
+	Descriptors int `json:"max_fds"`
+	// StallTimeout is the time in which a body or the reader of an answer must make progress.
+	StallTimeout   Millis `json:"stall_timeout_ms"`
 	Timeout        Millis `json:"timeout_ms"`
 	Retries        int    `json:"retries"`
 	Queue          int    `json:"queue"`
--- a/settings_default.go
+++ b/settings_default.go
@@ -4,6 +4,9 @@
 func DefaultLimits() LimitSettings {
 	return LimitSettings{
 		BodyBytes:      1 << 20,
+		MemoryMB:       512,
+		Descriptors:    4096,
+		StallTimeout:   20_000,
 		HeadBytes:      64 << 10,
 		Timeout:        10_000,
 		Retries:        2,
--- a/setup/descriptor.go
+++ b/setup/descriptor.go
@@ -1,12 +1,16 @@
 package setup
 
-import "github.com/pomeloworks/pomelo"
+import (
+	"github.com/pomeloworks/pomelo"
+	"github.com/pomeloworks/pomelo/room"
+)
 
 // Units of the values.
 const (
-	unitMillis = "ms"
-	unitBytes  = "bytes"
-	unitCount  = "count"
+	unitMillis    = "ms"
+	unitBytes     = "bytes"
+	unitCount     = "count"
+	unitMebibytes = "MiB"
 )
 
 // Limits of numeric keys, in the unit of the key.
@@ -16,6 +20,8 @@
 	maxMillis    = 3_600_000
 	maxRetries   = 10
 	minHeadBytes = 1024
+	minMemoryMB  = 64
+	maxMemoryMB  = 1 << 20
 )
 
 // descriptor describes one key of the settings file for reading and checking, and for the test of the example file.
@@ -96,6 +102,18 @@
 		section: "limits", key: "head_bytes", defaultValue: "65536", unit: unitBytes, minValue: minHeadBytes, maxValue: maxBytes, check: checkNumber,
 		field: func(s *pomelo.Settings) any { return &s.Limits.HeadBytes },
 	},
+	{
+		section: "limits", key: "memory_mb", defaultValue: "512", unit: unitMebibytes, minValue: minMemoryMB, maxValue: maxMemoryMB, check: checkNumber,
+		field: func(s *pomelo.Settings) any { return &s.Limits.MemoryMB },
+	},
+	{
+		section: "limits", key: "max_fds", defaultValue: "4096", unit: unitCount, minValue: room.MinDescriptors, maxValue: maxCount, check: checkNumber,
+		field: func(s *pomelo.Settings) any { return &s.Limits.Descriptors },
+	},
+	{
+		section: "limits", key: "stall_timeout_ms", defaultValue: "20000", unit: unitMillis, minValue: 1, maxValue: maxMillis, check: checkNumber,
+		field: func(s *pomelo.Settings) any { return &s.Limits.StallTimeout },
+	},
 	{
 		section: "limits", key: "timeout_ms", defaultValue: "10000", unit: unitMillis, minValue: 1, maxValue: maxMillis, check: checkNumber,
 		field: func(s *pomelo.Settings) any { return &s.Limits.Timeout },
--- a/wiring/calls.go
+++ b/wiring/calls.go
@@ -21,6 +21,7 @@
 	"github.com/pomeloworks/pomelo/quorum"
 	"github.com/pomeloworks/pomelo/rates"
 	"github.com/pomeloworks/pomelo/retry"
+	"github.com/pomeloworks/pomelo/room"
 	"github.com/pomeloworks/pomelo/send"
 	"github.com/pomeloworks/pomelo/serve"
 	"github.com/pomeloworks/pomelo/shed"
@@ -86,11 +87,11 @@
 	return t.Wrap(v, shed.New(c, b.CallerHandler(next), m, shed.WithSeed(newSeed())))
 }
 
-func newEntry(n *Node, c pomelo.Clock, v *config.View, a *rates.Limiter, s *send.Sender, b *claim.Table, t *tally.Tally, k *certs.Reloader, m pomelo.Metrics, log pomelo.Logger) *entry.Server {
-	return entry.New(c, v, a, newCallerHandler(n, c, v, t, b, s, m), m, log, entry.WithLimits(n.settings.Limits), entry.WithOutcomeRecorder(t), entry.WithTLS(k.TLSConfig()))
+func newEntry(n *Node, c pomelo.Clock, v *config.View, a *rates.Limiter, s *send.Sender, b *claim.Table, t *tally.Tally, k *certs.Reloader, x *binder, q room.Limits, m pomelo.Metrics, log pomelo.Logger) *entry.Server {
+	return entry.New(c, v, a, newCallerHandler(n, c, v, t, b, s, m), m, log, entry.WithLimits(n.settings.Limits), entry.WithOutcomeRecorder(t), entry.WithTLS(k.TLSConfig()), entry.WithListener(x.bind("callers", q.Callers())))
 }
 
-func newLocal(n *Node, c pomelo.Clock, v *config.View, l *ledger.Ledger, next *send.Sender, s *serve.Server, r *member.Registry, t *tally.Tally, w *health.Monitor, log pomelo.Logger) *local.Server {
+func newLocal(n *Node, c pomelo.Clock, v *config.View, l *ledger.Ledger, next *send.Sender, s *serve.Server, r *member.Registry, t *tally.Tally, w *health.Monitor, x *binder, q room.Limits, log pomelo.Logger) *local.Server {
 	announce := func(u pomelo.Upstream) {
 		if u == s.Upstream() {
 			return
@@ -104,5 +105,5 @@
 		})
 		log.Info("upstream_announced", "service", u.Service, "address", u.Address, "slots", u.Slots)
 	}
-	return local.New(v, l, newUpstreamHandler(n, c, v, t, next), announce, log, local.WithBodyLimit(n.settings.Limits.BodyBytes))
+	return local.New(v, l, newUpstreamHandler(n, c, v, t, next), announce, log, local.WithBodyLimit(n.settings.Limits.BodyBytes), local.WithHeadLimit(n.settings.Limits.HeadBytes), local.WithListener(x.bind("upstream", q.Upstream())))
 }
--- a/wiring/components.go
+++ b/wiring/components.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/pomeloworks/pomelo"
 	"github.com/pomeloworks/pomelo/admin"
+	"github.com/pomeloworks/pomelo/budget"
 	"github.com/pomeloworks/pomelo/certs"
 	"github.com/pomeloworks/pomelo/claim"
 	"github.com/pomeloworks/pomelo/clock"
@@ -69,6 +70,9 @@
 		newStore,
 		ident.New,
 		newCodec,
+		newRoom,
+		newBudget,
+		newBinder,
 		func() *metric.Sink { return metric.New() },
 		func(s *metric.Sink) pomelo.Metrics { return s },
 		mirror.New,
@@ -121,8 +125,8 @@
 	return dialer.New(i, c, dialer.WithMetrics(m), dialer.WithDialTimeout(n.settings.Limits.ConnectTimeout))
 }
 
-func newListen(i *ident.Identity, c *wire.Codec, r *member.Registry, f *fence.Table, w *gossip.Gossiper, q *gather.Collector, k *quorum.Coordinator, a *rates.Limiter, b *claim.Table, log pomelo.Logger) *listen.Server {
-	l := listen.New(i, c, r, f, log, listen.WithFencer(f))
+func newListen(i *ident.Identity, c *wire.Codec, r *member.Registry, f *fence.Table, w *gossip.Gossiper, q *gather.Collector, k *quorum.Coordinator, a *rates.Limiter, b *claim.Table, memory *budget.Budget, log pomelo.Logger) *listen.Server {
+	l := listen.New(i, c, r, f, log, listen.WithFencer(f), listen.WithBudget(memory))
 	l.RegisterResponder(pomelo.MessageGossip, w.Answer)
 	l.RegisterResponder(pomelo.MessageDrain, r.AnswerDrain)
 	l.RegisterResponder(pomelo.MessageReport, q.Answer)
--- a/wiring/operators.go
+++ b/wiring/operators.go
@@ -18,6 +18,7 @@
 	"github.com/pomeloworks/pomelo/metric"
 	"github.com/pomeloworks/pomelo/mirror"
 	"github.com/pomeloworks/pomelo/query"
+	"github.com/pomeloworks/pomelo/room"
 	"github.com/pomeloworks/pomelo/runner"
 	"github.com/pomeloworks/pomelo/show"
 	"github.com/pomeloworks/pomelo/tally"
@@ -64,12 +65,12 @@
 	return usage.New(c, d, l)
 }
 
-func newAdmin(n *Node, p *query.Parser, r *runner.Runner, b *burn.Reporter, m *metric.Sink, u *usage.Meter, log pomelo.Logger) *admin.Server {
+func newAdmin(n *Node, p *query.Parser, r *runner.Runner, b *burn.Reporter, m *metric.Sink, u *usage.Meter, x *binder, q room.Limits, log pomelo.Logger) *admin.Server {
 	metrics := func(w io.Writer) error {
 		u.Sample(m)
 		return m.WriteJSON(w)
 	}
-	return admin.New(p, r.Run, metrics, log, admin.WithTokenHashes(n.settings.Admin.TokenHashes), admin.WithBurn(b.Report))
+	return admin.New(p, r.Run, metrics, log, admin.WithTokenHashes(n.settings.Admin.TokenHashes), admin.WithBurn(b.Report), admin.WithListener(x.bind("operators", q.Others())))
 }
 
 // unwrapFault returns the *pomelo.Fault that fx has wrapped, or else the error with context.
