Tests: the listener itself answers beside a crowd, the largest legal body, a stop of pomelo node

TestCrowdAtOtherDoors also asks the listener at which the crowd is, while it is there. TestCrowdOfOneLargeBody has one request of 64 MiB served by nodes of 284 MB, and TestCrowdInNodeStop stops pomelo node beside bodies that make no progress.

--- a/cmd/pomelo/crowd_bodies_test.go
+++ b/cmd/pomelo/crowd_bodies_test.go
@@ -22,6 +22,24 @@
 	bodyPause        = 20 * time.Millisecond
 )
 
+// The largest body that the platform's policy allows, in bytes, and the memory of its machines.
+const (
+	largestBody      = 64 << 20
+	platformMemoryMB = 284
+)
+
+// TestCrowdOfOneLargeBody is no crowd: what the limits allow is served in calm.
+func TestCrowdOfOneLargeBody(t *testing.T) {
+	convey.Convey("A single request with the largest legal body is served, and leaves the nodes within their memory", t, func() {
+		c := newCrowd(t, siteLimits{memoryMB: platformMemoryMB, maxFDs: platformFDs, maxBody: largestBody})
+		for range 3 {
+			convey.So(c.isServed(largestBody), convey.ShouldBeTrue)
+		}
+		c.end()
+		c.checkProcesses()
+	})
+}
+
 // upload sends the head and the body in pieces, and stops short of the last bytes.
 func (c *crowd) upload(conn net.Conn, bytes, pieces int, pause time.Duration) {
 	if _, err := io.WriteString(conn, c.requestHead("POST", "/book/a")+fmt.Sprintf("Content-Length: %d\r\n\r\n", bytes)); err != nil {
--- a/cmd/pomelo/crowd_connections_test.go
+++ b/cmd/pomelo/crowd_connections_test.go
@@ -3,8 +3,11 @@
 import (
 	"io"
 	"net"
+	"net/http"
 	"testing"
+	"time"
 
+	"github.com/pomeloworks/pomelo/platform"
 	"github.com/smartystreets/goconvey/convey"
 )
 
@@ -47,6 +50,7 @@
 			crowdForm(t, "Clients of the listener "+name+" leave the node to others: they "+habit, func(t *testing.T) {
 				c := newCrowd(t, lowDescriptors())
 				c.join(silentClients, c.node.address(port), func(conn net.Conn) { f(c, conn) })
+				c.meanwhile = func() { convey.So(c.answers(port), convey.ShouldBeTrue) }
 				c.check()
 				convey.So(eventually(c.node.isReady), convey.ShouldBeTrue)
 			})
@@ -54,6 +58,19 @@
 	}
 }
 
+// answers reports whether a listener answers a probe within servedTime, if it is repeated.
+func (c *crowd) answers(port int) bool {
+	client := &http.Client{Timeout: ordinaryTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	for end := time.Now().Add(servedTime); time.Now().Before(end); time.Sleep(crowdRetry) {
+		resp, err := client.Get("http://" + c.node.address(port) + platform.PathReady)
+		if err == nil {
+			_ = resp.Body.Close()
+			return true
+		}
+	}
+	return false
+}
+
 func (c *crowd) write(conn net.Conn, text string) {
 	_, _ = io.WriteString(conn, text)
 	c.stayOpen(conn)
--- a/cmd/pomelo/crowd_node_test.go
+++ b/cmd/pomelo/crowd_node_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -136,6 +137,34 @@
 	})
 }
 
+// nodeStopTime is that of a stop whose grace period is 0.8 s and whose longest request takes 3 s, with room to spare; a stop is given up after 120 s.
+const nodeStopTime = 15 * time.Second
+
+func TestCrowdInNodeStop(t *testing.T) {
+	convey.Convey("A planned stop of pomelo node does not wait for clients whose requests make no progress", t, func() {
+		c := newNodeCrowd(t, lowDescriptors())
+		c.join(nodeClients/2, c.node.caller, func(conn net.Conn) {
+			if _, err := io.WriteString(conn, c.head(nodeBody, 0)); err != nil {
+				return
+			}
+			for c.pause(headPause) {
+				if _, err := io.WriteString(conn, "x"); err != nil {
+					return
+				}
+			}
+		})
+		c.join(nodeClients/2, c.node.caller, c.stayOpen)
+		c.pause(crowdTime / 2)
+		c.node.process.signal(syscall.SIGTERM)
+		select {
+		case <-c.node.process.exited:
+		case <-time.After(nodeStopTime):
+		}
+		convey.So(c.node.process.command.ProcessState, convey.ShouldNotBeNil)
+		convey.So(c.node.process.command.ProcessState.ExitCode(), convey.ShouldEqual, 0)
+	})
+}
+
 func TestCrowdAtNodeUpstream(t *testing.T) {
 	eachNodeCrowd(t, "the upstream", lowDescriptors(), map[string]func(c *nodeCrowd){
 		"send nothing": func(c *nodeCrowd) { c.join(silentClients, c.node.upstream, c.stayOpen) },
--- a/cmd/pomelo/crowd_site_test.go
+++ b/cmd/pomelo/crowd_site_test.go
@@ -63,7 +63,9 @@
 	node *siteNode
 	// ordinary sends one request with a body of this length, on a connection of its own, and reports whether it was answered whole.
 	ordinary func(body int) bool
-	done     chan struct{}
+	// meanwhile checks more while the crowd is there, or is nil.
+	meanwhile func()
+	done      chan struct{}
 	// running counts the clients and the watchers.
 	running sync.WaitGroup
 	ends    sync.Once
@@ -254,6 +256,9 @@
 	for _, body := range []int{300, ordinaryBody} {
 		convey.So(c.isServed(body), convey.ShouldBeTrue)
 	}
+	if c.meanwhile != nil {
+		c.meanwhile()
+	}
 	c.end()
 	convey.So(c.isServed(300), convey.ShouldBeTrue)
 	c.checkProcesses()
