--- a/mesh/node.go
+++ b/mesh/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -55,8 +56,11 @@
 	done   chan struct{}
 }
 
-// New builds a node from its components; it opens no listener before Start.
+// New builds a node from its components; it opens no listener before Start. Too few descriptors are KindBadSettings.
 func New(settings pomelo.HostSettings, host Host, opts ...func(*Node)) (*Node, error) {
+	if d := settings.MaxDescriptors; d > 0 && d < room.MinDescriptors {
+		return nil, pomelo.NewFault(pomelo.KindBadSettings, fmt.Sprintf("the limit of %d descriptors leaves none for some tasks of a node", d), fmt.Sprintf("allow the process at least %d", room.MinDescriptors))
+	}
 	n := &Node{settings: settings, host: host, output: os.Stdout, metrics: metric.New(), done: make(chan struct{})}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	for _, o := range opts {
