bound: a connection of HTTP/2 that is never idle gives back the memory of its requests

What callers saw: 503 for want of memory at pomelo node over TLS, after many requests on one busy connection.

Cause: the memory of all requests was counted on their connection, and given back when it had none; over HTTP/2 one request can always be open.

Change: each request has a hold of its own, which ends with it; heads are given back once they were read.

Evidence: TestRequestsOfOneConnection sends 50 bodies of 100 KB beside an open request.

--- a/bound/conn.go
+++ b/bound/conn.go
@@ -14,14 +14,19 @@
 	progressBytes = 16 << 10
 	// pieceBytes are the bytes of a response that must be read to count as progress.
 	pieceBytes = 64 << 10
+	// callBytes is the memory of a request that is handled, in bytes, without its fields and body.
+	callBytes = 24 << 10
 )
 
 // conn is a connection of an HTTP server, with one request at a time or, over HTTP/2, several.
 type conn struct {
 	net.Conn
 	listener *Listener
-	memory   *hold.Hold
-	mu       sync.Mutex
+	// memory is that of the connection and of heads that are not complete.
+	memory *hold.Hold
+	mu     sync.Mutex
+	// requests holds the memory of the requests that are handled.
+	requests map[*hold.Hold]bool
 	// idle is set while no byte of a request has arrived.
 	idle bool
 	// hasHadRequest is set once a request was answered.
@@ -41,13 +46,41 @@
 var _ pomelo.ClientConn = (*conn)(nil)
 
 func newConn(l *Listener, c net.Conn) *conn {
-	k := &conn{Conn: c, listener: l, idle: true, since: l.clock.Now()}
-	if l.budget != nil {
-		k.memory = hold.New(l.budget)
-	}
+	k := &conn{Conn: c, listener: l, idle: true, since: l.clock.Now(), requests: map[*hold.Hold]bool{}}
+	k.memory = k.newHold()
 	return k
 }
 
+// newHold returns a hold of no bytes, or nil if memory is not counted.
+func (c *conn) newHold() *hold.Hold {
+	if c.listener.budget == nil {
+		return nil
+	}
+	return hold.New(c.listener.budget)
+}
+
+// addRequest returns the hold of a request whose head was read; the connection was closed for want of memory if the hold is released.
+func (c *conn) addRequest(fields int64) *hold.Hold {
+	h := c.newHold()
+	h.Add(callBytes + fields)
+	c.memory.Set(ConnBytes)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requests[h] = true
+	if c.evicted {
+		h.Release()
+	}
+	return h
+}
+
+// removeRequest gives back the memory of a request that was answered.
+func (c *conn) removeRequest(h *hold.Hold) {
+	h.Release()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.requests, h)
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
@@ -139,6 +172,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := pomelo.ClientWait{Kind: pomelo.WaitNew, Since: c.since, Bytes: c.memory.Bytes()}
+	for h := range c.requests {
+		w.Bytes += h.Bytes()
+	}
 	switch {
 	case c.evicted:
 		w.Kind = pomelo.WaitNone
@@ -162,6 +198,9 @@
 		return false
 	}
 	c.evicted = true
+	for h := range c.requests {
+		h.Release()
+	}
 	c.mu.Unlock()
 	c.memory.Release()
 	if t, ok := c.Conn.(*net.TCPConn); ok {
--- a/bound/http2_test.go
+++ b/bound/http2_test.go
@@ -1,6 +1,7 @@
 package bound_test
 
 import (
+	"bytes"
 	"crypto/tls"
 	"io"
 	"net"
@@ -37,10 +38,16 @@
 		table := evict.New(k, logs.New(io.Discard), metric.New(), "test", maxConns)
 		failed := make(chan error, 1)
 		s := &http.Server{Handler: bound.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if r.URL.Path != "/run" {
+			switch r.URL.Path {
+			case "/stall":
 				_, err := bound.ReadBody(r, 1<<20)
 				failed <- err
 				return
+			case "/short":
+				if _, err := bound.ReadBody(r, 1<<20); err != nil {
+					w.WriteHeader(http.StatusServiceUnavailable)
+				}
+				return
 			}
 			bound.Run(r.Context(), func() { time.Sleep(runTime) })
 			_ = bound.Write(r.Context(), w, make([]byte, 200<<10))
@@ -62,6 +69,13 @@
 			}
 		}()
 		_, _ = unfinished.Write([]byte("x"))
+		for range 50 {
+			resp, err := client.Post(url+"/short", "text/plain", bytes.NewReader(make([]byte, 100<<10)))
+			convey.So(err, convey.ShouldBeNil)
+			_ = resp.Body.Close()
+			convey.So(resp.StatusCode, convey.ShouldEqual, http.StatusOK)
+		}
+		convey.So(memory.Used(), convey.ShouldBeLessThan, 1<<20)
 		convey.So(<-failed, convey.ShouldNotBeNil)
 		resp := <-running
 		convey.So(resp, convey.ShouldNotBeNil)
--- a/bound/request.go
+++ b/bound/request.go
@@ -43,7 +43,9 @@
 			return
 		}
 		x.extend()
-		ctx := context.WithValue(hold.NewContext(r.Context(), c.memory), exchangeKey{}, x)
+		memory := c.addRequest(hold.OfFields(r.Header))
+		defer c.removeRequest(memory)
+		ctx := context.WithValue(hold.NewContext(r.Context(), memory), exchangeKey{}, x)
 		r = r.WithContext(ctx)
 		r.Body = &progressBody{ReadCloser: r.Body, exchange: x}
 		h.ServeHTTP(w, r)
