sizes: one long answer is no reason to refuse a route's requests

What callers saw (by reading): after one very long answer, 503 "no memory for the answer" for most requests of its route until some tens of them were answered one after the other, though their answers are short. One client that asks for one long answer could do that to the others of its route.

Cause: the estimate was the decaying maximum.

Change: it is the mean of recent answers, the newest with a weight of a tenth. Answers longer than the estimate wait for their memory as before.

Evidence: TestSizes, "one long answer among short ones", expects 2,000 of 20,000 bytes; the maximum gave 20,000.

--- a/sizes/sizes.go
+++ b/sizes/sizes.go
@@ -5,13 +5,15 @@
 )
 
 const (
-	// decay is the share of a route's estimate that remains after a shorter answer.
-	decay = 0.9
+	// weight is that of the newest answer in a route's estimate, so that a single long answer is no reason to refuse many requests.
+	weight = 0.1
+	// forgetDivisor is the part of the minimum below which a route is forgotten.
+	forgetDivisor = 16
 	// maxRoutes bounds the routes that are remembered.
 	maxRoutes = 4096
 )
 
-// Sizes remembers the sizes of the answers of each route; it is safe for concurrent use.
+// Sizes remembers the mean size of the recent answers of each route; it is safe for concurrent use.
 type Sizes struct {
 	mu      sync.Mutex
 	minimum float64
@@ -27,25 +29,26 @@
 func (s *Sizes) Expect(route string) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return int64(s.routes[route])
+	n := s.routes[route]
+	if n < s.minimum {
+		return 0
+	}
+	return int64(n)
 }
 
-// Record notes the bytes of an answer; short answers of routes without longer ones are not remembered.
+// Record notes the bytes of an answer; short answers of routes without long ones are not remembered.
 func (s *Sizes) Record(route string, bytes int) {
 	n := float64(bytes)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	known := s.routes[route]
-	if n < s.minimum && known == 0 {
+	known, ok := s.routes[route]
+	if !ok && (n < s.minimum || len(s.routes) >= maxRoutes) {
 		return
 	}
-	n = max(n, decay*known)
-	if n < s.minimum {
+	known += weight * (n - known)
+	if known < s.minimum/forgetDivisor {
 		delete(s.routes, route)
 		return
 	}
-	if known == 0 && len(s.routes) >= maxRoutes {
-		return
-	}
-	s.routes[route] = n
+	s.routes[route] = known
 }
