review: show that a left upstream is in use again after a kill right after its acknowledgement

Cause: a deregistration is answered 200 before the record that the next process reads is written; a heartbeat from before then brings the upstream back. The stand-in of the store drops calls whose connection has ended before their turn.

--- a/review/lab3/lab.go
+++ b/review/lab3/lab.go
@@ -5,6 +5,7 @@
 	"context"
 	"embed"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -21,8 +22,24 @@
 //go:embed texts
 var texts embed.FS
 
-// storeDelay is the time of each call of the store, in milliseconds.
-const storeDelay = 4
+// storeDelay is the time that each call of the store takes.
+const storeDelay = 4 * time.Millisecond
+
+// unlessGone passes calls on after storeDelay, except those whose connection has ended by then, which the store does not execute.
+func unlessGone(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		select {
+		case <-time.After(storeDelay):
+			next.ServeHTTP(w, r)
+		case <-r.Context().Done():
+		}
+	})
+}
 
 // lab is a small deployment: a store, nodes with an upstream each, and callers.
 type lab struct {
@@ -117,13 +134,12 @@
 	for i := range n {
 		ip := fmt.Sprintf("127.%d.%d.%d", 64+pid>>8&63, pid&255, i+1)
 		x := &node{lab: l, VM: fmt.Sprintf("sidecar-%d", i+1), IP: ip, Zone: "zone-" + string(rune('a'+i%3)), Service: "shop", First: true}
-		l.store.SetFault(x.VM, fake.Fault{Delay: storeDelay})
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return err
 		}
 		x.Store = listener.Addr().String()
-		go func() { _ = http.Serve(listener, l.store.Handler(x.VM)) }()
+		go func() { _ = http.Serve(listener, unlessGone(l.store.Handler(x.VM))) }()
 		l.nodes = append(l.nodes, x)
 		if x.upstream, err = newUpstream(x); err != nil {
 			return err
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -26,6 +26,7 @@
 	"keys":    playKeys,
 	"foreign": playForeignHeartbeat,
 	"clock":   playClockStep,
+	"left":    playLeft,
 }
 
 func main() {
--- a/review/lab3/upstream.go
+++ b/review/lab3/upstream.go
@@ -92,16 +92,18 @@
 }
 
 // heartbeat sends one heartbeat, and reports whether it was acknowledged.
-func (u *upstream) heartbeat() bool {
+func (u *upstream) heartbeat() bool { return u.post("heartbeat", u.nextHeartbeat()) }
+
+// nextHeartbeat returns the body of the next heartbeat.
+func (u *upstream) nextHeartbeat() []byte {
 	u.mu.Lock()
+	defer u.mu.Unlock()
 	u.sequence++
-	body := fill("heartbeat.txt", struct {
+	return fill("heartbeat.txt", struct {
 		Address, Zone, State string
 		Sequence             int
 		Born                 int64
 	}{u.address(), u.node.Zone, u.state, u.sequence, u.born.UnixMilli()})
-	u.mu.Unlock()
-	return u.post("heartbeat", body)
 }
 
 func (u *upstream) post(what string, body []byte) bool {
