--- a/review/lab3/case_drain.go
+++ b/review/lab3/case_drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -31,16 +32,27 @@
 	}
 	l.note("the disturbance is over")
 	time.Sleep(settleTime)
-	end := time.Now().Add(2*time.Second + stayTime)
+	end := time.Now().Add(3*time.Second + stayTime)
 	var sending sync.WaitGroup
-	for _, n := range l.nodes {
+	orders := make([][]result, len(l.nodes))
+	for i, n := range l.nodes {
 		sending.Go(func() { n.sendUntil(end, 50*time.Millisecond, "GET", "/read/x", "k-acme") })
-		sending.Go(func() { n.sendUntil(end, 100*time.Millisecond, "POST", "/order/x", "") })
+		sending.Go(func() { orders[i] = n.sendUntil(end, 30*time.Millisecond, "POST", "/order/x", "") })
 	}
 	time.Sleep(2 * time.Second)
 	ackAt, ok := u.drain(10)
 	l.note("upstream %s: its leaving is acknowledged: %t", u.id, ok)
+	time.Sleep(stayTime)
+	u.stop()
 	sending.Wait()
+	lost := 0
+	for _, rs := range orders {
+		for _, r := range rs {
+			if r.status != http.StatusOK && r.status != http.StatusServiceUnavailable && r.status != http.StatusTooManyRequests {
+				lost++
+			}
+		}
+	}
 	before, late := 0, 0
 	var last time.Duration
 	for _, a := range u.runs() {
@@ -58,7 +70,7 @@
 	if !ok {
 		return false, "the leaving was never acknowledged", nil
 	}
-	return late > 0, fmt.Sprintf("%d requests ran at the upstream before its leaving was acknowledged, and %d arrived later than %v after that, the last %v after it", before, late, drainBound, last.Round(time.Millisecond)), nil
+	return late > 0, fmt.Sprintf("%d requests ran at the upstream before its leaving was acknowledged, and %d arrived later than %v after that, the last %v after it; %d orders had neither an answer of an upstream nor a refusal as not run", before, late, drainBound, last.Round(time.Millisecond), lost), nil
 }
 
 // foreignLead is the lead of the other writer's sequence over the upstream's own.
