--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -27,6 +27,7 @@
 	"foreign": playForeignHeartbeat,
 	"left":    playLeft,
 	"drill":   playDrill,
+	"slow":    playSlow,
 }
 
 func main() {
--- a/review/lab3/upstream.go
+++ b/review/lab3/upstream.go
@@ -158,11 +158,19 @@
 	u.ran = append(u.ran, a)
 	u.mu.Unlock()
 	u.node.lab.note("upstream %s: runs %s of account %q", u.id, id, a.account)
+	if r.URL.Path == "/order/upload" {
+		_, _ = io.Copy(io.Discard, r.Body)
+		time.Sleep(uploadWork)
+	}
 	time.Sleep(workTime)
 	w.Header().Set(words["seal"], "seal-"+id)
 	if draining {
 		w.Header().Set("Connection", "close")
 	}
+	if r.URL.Path == "/order/slow" {
+		_, _ = w.Write(bytes.Repeat([]byte("s"), slowBytes))
+		return
+	}
 	_, _ = io.WriteString(w, "done "+id+"\n")
 }
 
