policy: the withdrawal of the last key opens no route

Cause: intake asked HasAccounts, which was true while an account was left, so an empty table counted like an absent one.

Evidence: the nodes log policy_adopted with the new version and accounts=0 and no request_refused after it; with another account left, the same nodes refuse the key. So the nodes know the policy and take it for one without accounts.

Change: PolicySpec.KeysRequired says whether requests need a key. The decoder sets it when the document has the table. Member records keep it for the next process, and a policy without the table is in force only once the members were listed.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -194,7 +194,7 @@
 
 // authenticate sets the account of the request's key, unless the route is open.
 func (i *Intake) authenticate(c *pomelo.Call, q pomelo.Request, route pomelo.TrafficRoute, p pomelo.Policy) error {
-	if !p.HasAccounts() || route.Open {
+	if !p.KeysRequired() || route.Open {
 		return nil
 	}
 	if age := i.policies.Age(); age > i.maxKeyAge-keyAgeMargin {
--- a/member.go
+++ b/member.go
@@ -26,6 +26,8 @@
 	UpstreamStartedAt Millis `json:"upstream_born_ms,omitempty"`
 	// UpstreamLeft marks a known upstream that accepts no new calls until it starts again.
 	UpstreamLeft bool `json:"upstream_left,omitempty"`
+	// KeysRequired says that a policy known to the process has required keys, so that a later one without client accounts opens no route.
+	KeysRequired bool `json:"keys_required,omitempty"`
 	// Epoch is the store's epoch that the process knew when it wrote the record; a lower one than the store's marks a record of the copy from which the store returned.
 	Epoch int64 `json:"epoch,omitempty"`
 }
--- a/mesh/components.go
+++ b/mesh/components.go
@@ -159,6 +159,9 @@
 	v := view.New(n.host.Store, c, log, n.host.PolicyKey, n.host.ParsePolicy, b.Member, opts...)
 	v.OnStoreReturn(b.StoreReturned)
 	v.OnOverwritten(b.RecordOverwritten)
+	v.OnKeysRequired(func() {
+		b.UpdateMember(func(m *pomelo.Member) { m.KeysRequired = true })
+	})
 	if n.settings.Features.RelayedWatch {
 		o.OnChange(v.StoreChanged)
 	}
--- a/mesh/path_test.go
+++ b/mesh/path_test.go
@@ -249,11 +249,18 @@
 }
 
 func (m *member) send(method, path, id string, body string) (int, string) {
+	return m.sendWith(method, path, id, body, "Bearer "+key)
+}
+
+// sendWith sends a request with this Authorization header, or without one if it is empty.
+func (m *member) sendWith(method, path, id, body, authorization string) (int, string) {
 	r, _ := http.NewRequest(method, "http://"+m.settings.CallerAddress+path, strings.NewReader(body))
 	r.Host = "shop.example"
 	r.Header.Set("Request-Id", id)
 	r.Header.Set("Deadline-Ms", "2000")
-	r.Header.Set("Authorization", "Bearer "+key)
+	if authorization != "" {
+		r.Header.Set("Authorization", authorization)
+	}
 	r.Header.Set("Tenant", "forged")
 	r.Header.Set("Caller-Service", "forged")
 	resp, err := http.DefaultClient.Do(r)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -9,12 +9,13 @@
 
 // Policy implements pomelo.Policy.
 type Policy struct {
-	version  int64
-	limits   pomelo.TrafficLimits
-	routes   map[string][]pomelo.TrafficRoute
-	accounts map[string]pomelo.TrafficAccount
-	services map[string]pomelo.TrafficService
-	keys     map[string]string
+	version      int64
+	keysRequired bool
+	limits       pomelo.TrafficLimits
+	routes       map[string][]pomelo.TrafficRoute
+	accounts     map[string]pomelo.TrafficAccount
+	services     map[string]pomelo.TrafficService
+	keys         map[string]string
 }
 
 var _ pomelo.Policy = (*Policy)(nil)
@@ -22,12 +23,13 @@
 // New indexes the policy; of two routes with the same host and prefix the first by name takes precedence.
 func New(spec pomelo.PolicySpec) *Policy {
 	p := &Policy{
-		version:  spec.Version,
-		limits:   spec.Limits,
-		routes:   map[string][]pomelo.TrafficRoute{},
-		accounts: map[string]pomelo.TrafficAccount{},
-		services: map[string]pomelo.TrafficService{},
-		keys:     map[string]string{},
+		version:      spec.Version,
+		keysRequired: spec.KeysRequired,
+		limits:       spec.Limits,
+		routes:       map[string][]pomelo.TrafficRoute{},
+		accounts:     map[string]pomelo.TrafficAccount{},
+		services:     map[string]pomelo.TrafficService{},
+		keys:         map[string]string{},
 	}
 	for _, r := range spec.Routes {
 		p.routes[r.Host] = append(p.routes[r.Host], r)
@@ -102,7 +104,7 @@
 	return s, ok
 }
 
-// HasAccounts reports whether there are client accounts, so that requests need a key.
-func (p *Policy) HasAccounts() bool {
-	return len(p.accounts) > 0
+// KeysRequired reports whether requests on routes that are not open need a key.
+func (p *Policy) KeysRequired() bool {
+	return p.keysRequired
 }
--- a/policy_spec.go
+++ b/policy_spec.go
@@ -2,11 +2,13 @@
 
 // PolicySpec is one version of the operators' complete traffic policy.
 type PolicySpec struct {
-	Version  int64
-	Routes   []TrafficRoute
-	Accounts []TrafficAccount
-	Services []TrafficService
-	Limits   TrafficLimits
+	Version int64
+	// KeysRequired means that requests on routes that are not open need the key of a client account, also while there is no account.
+	KeysRequired bool
+	Routes       []TrafficRoute
+	Accounts     []TrafficAccount
+	Services     []TrafficService
+	Limits       TrafficLimits
 }
 
 // TrafficRoute sends the requests for a host and path prefix to its targets.
@@ -71,8 +73,8 @@
 	AccountByKey(keyID string) (TrafficAccount, bool)
 	Account(name string) (TrafficAccount, bool)
 	Service(name string) (TrafficService, bool)
-	// HasAccounts reports whether there are client accounts, so that requests need a key.
-	HasAccounts() bool
+	// KeysRequired reports whether requests on routes that are not open need a key.
+	KeysRequired() bool
 }
 
 // PolicySource provides this node's copy of the fleet's policy.
--- a/view/decode.go
+++ b/view/decode.go
@@ -34,6 +34,9 @@
 		err = errors.Newf("it is of the VM %q", c.Member.VM)
 	}
 	if err == nil {
+		if c.Member.KeysRequired {
+			v.requireKeys(c.Member.VM)
+		}
 		return c, true
 	}
 	v.log.Warn("member_unreadable", "key", r.Key, "revision", r.Revision, "error", err.Error())
--- a/view/view.go
+++ b/view/view.go
@@ -42,6 +42,10 @@
 
 	mu     sync.Mutex
 	policy pomelo.Policy
+	// spec is what the policy was made of.
+	spec pomelo.PolicySpec
+	// keysRequired is set once any policy in force has required keys, at this node or at another one.
+	keysRequired bool
 	// policyValue is the policy as the store has it.
 	policyValue []byte
 	proof       *proof.Proof
@@ -57,6 +61,7 @@
 	onDrop         []func()
 	onRecord       map[string]func(pomelo.Record)
 	onOverwritten  []func()
+	onKeysRequired []func()
 	// evacuationPrefix is the prefix of the evacuations' records; empty if evacuations don't apply.
 	evacuationPrefix string
 	zones            *zones.Evacuations
@@ -148,6 +153,11 @@
 	v.onOverwritten = append(v.onOverwritten, f)
 }
 
+// OnKeysRequired registers a function that is called once a policy has required keys, possibly more than once; it must be called before Run.
+func (v *View) OnKeysRequired(f func()) {
+	v.onKeysRequired = append(v.onKeysRequired, f)
+}
+
 // OnRecord registers a function that is called with each record under the prefix when it is listed or has changed, possibly more than once; it must be called before Run.
 func (v *View) OnRecord(prefix string, f func(pomelo.Record)) {
 	v.onRecord[prefix] = f
@@ -197,7 +207,7 @@
 func (v *View) refresh(ctx context.Context) pomelo.Millis {
 	defer v.dropMembers()
 	defer v.dropEvacuations()
-	_, hasPolicy := v.Policy()
+	hasPolicy := v.hasPolicy()
 	if hasPolicy {
 		v.consult(ctx)
 	}
--- a/view/watch.go
+++ b/view/watch.go
@@ -36,13 +36,14 @@
 	if err != nil {
 		return err
 	}
+	members := v.decodeAll(l.Records)
 	v.mu.Lock()
 	if l.Epoch < v.proof.Epoch() {
 		v.mu.Unlock()
 		return errors.Newf("the list is of the store's epoch %d, and %d has been seen", l.Epoch, v.proof.Epoch())
 	}
 	zoneChanges := v.replaceEvacuations(evacuations)
-	changed := v.census.Replace(v.decodeAll(l.Records), l.Position(), v.clock.Monotonic())
+	changed := v.census.Replace(members, l.Position(), v.clock.Monotonic())
 	v.watchLag = lag{}
 	v.relay.reset(l.Position())
 	v.mu.Unlock()
