intake: an account without a rate is not limited

Cause: admit asked the rate limiter for every account, and a bucket without a rate or with a burst of 0 never has a token.

Change: TrafficAccount.IsLimited decides whether the rate limiter is asked; an account with a rate and no burst has a burst of one request.

Failing run, on: TestAccountWithoutLimit failed in the four forms without a rate or without a burst (nothing served in 10 s), and passed in the form with both. All pass now.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -134,7 +134,7 @@
 	if f := i.reserveAnswer(ctx, c); f != nil {
 		return c, f
 	}
-	if c.Account == "" {
+	if a, ok := p.Account(c.Account); !ok || !a.IsLimited() {
 		return c, nil
 	}
 	return c, i.rates.Admit(ctx, c)
--- a/mesh/last_key_test.go
+++ b/mesh/last_key_test.go
@@ -119,3 +119,38 @@
 		convey.So(eventually(func() bool { return f.refusesKeys("/b/x", http.StatusUnauthorized) }), convey.ShouldBeTrue)
 	})
 }
+
+// TestAccountWithoutLimit guards against requests of an account that are refused for a rate it does not have, and against an account with a rate and no burst that is never served.
+func TestAccountWithoutLimit(t *testing.T) {
+	const requests = 40
+	limits := map[string]struct {
+		fields  string
+		limited bool
+	}{
+		"without a rate and a burst": {``, false},
+		"with a rate and burst of 0": {`,"rate_per_s":0,"burst":0`, false},
+		"with a burst, and no rate":  {`,"burst":3`, false},
+		"with a rate, and no burst":  {`,"rate_per_s":1`, true},
+		"with a rate and a burst":    {`,"rate_per_s":1,"burst":3`, true},
+	}
+	for name, tc := range limits {
+		convey.Convey(fmt.Sprint("An account ", name, " is limited: ", tc.limited), t, func() {
+			f := newFleet(t, 1)
+			f.waitReady()
+			f.putAccounts(2, fmt.Sprintf(`"tenants":{"free":{"api_keys":["%s"],"priority":1%s}}`, key, tc.fields))
+			m := f.nodes[0]
+			// Rates have owners some seconds after the start of a fleet.
+			convey.So(eventually(func() bool {
+				s, body := m.sendKey("/a/x", fmt.Sprint("first", time.Now().UnixNano()), "Bearer "+key)
+				return s == http.StatusOK && strings.Contains(body, "account=free ")
+			}), convey.ShouldBeTrue)
+			seen := map[int]int{}
+			for n := range requests {
+				s, _ := m.sendKey("/a/x", fmt.Sprint("n", n), "Bearer "+key)
+				seen[s]++
+			}
+			convey.So(seen[http.StatusOK]+seen[http.StatusTooManyRequests], convey.ShouldEqual, requests)
+			convey.So(seen[http.StatusTooManyRequests] > 0, convey.ShouldEqual, tc.limited)
+		})
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -7,6 +7,9 @@
 	"github.com/pomeloworks/pomelo"
 )
 
+// minBurst is the burst of an account with a rate and no burst, in requests: less would admit none.
+const minBurst = 1
+
 // Policy implements pomelo.Policy.
 type Policy struct {
 	version      int64
@@ -41,6 +44,9 @@
 		p.services[s.Name] = s
 	}
 	for _, a := range spec.Accounts {
+		if a.IsLimited() {
+			a.Burst = max(a.Burst, minBurst)
+		}
 		p.accounts[a.Name] = a
 		for _, k := range a.KeyIDs {
 			p.keys[k] = a.Name
--- a/policy_spec.go
+++ b/policy_spec.go
@@ -55,6 +55,11 @@
 	Regions []string
 }
 
+// IsLimited reports whether the account has a rate; without one its requests are not limited.
+func (a TrafficAccount) IsLimited() bool {
+	return a.Rate > 0
+}
+
 // TrafficLimits bound a caller's connection, in bytes and milliseconds.
 type TrafficLimits struct {
 	HeadBytes   int
--- a/rates/limiter.go
+++ b/rates/limiter.go
@@ -121,7 +121,7 @@
 // Refund returns the token that Admit used for a request that did not run.
 func (l *Limiter) Refund(name string) {
 	c, ok := l.config.Account(name)
-	if !ok {
+	if !ok || c.Rate <= 0 {
 		return
 	}
 	a := l.account(c)
