mesh: the leaving of an upstream is acknowledged once the store holds it

Cause: deregister answered 200 once memory had changed; the record followed. The next process found the older record and took the late heartbeat for a sign of life.

The record names a draining upstream with the heartbeat's sequence number, and the withdrawals of unknown upstreams. A node uses no upstream before it has read the record of the process before it.

Changed check: TestLeftUpstreamAfterRestart wanted 200 for a draining heartbeat while the store is away. That was the fault: only memory knew.

--- a/beacon/announcer.go
+++ b/beacon/announcer.go
@@ -35,6 +35,11 @@
 	mu      sync.Mutex
 	member  pomelo.Member
 	changed chan struct{}
+	// change counts the changes of the member, and recorded is the last of them that the store holds for certain; 0 means none.
+	change   uint64
+	recorded uint64
+	// confirmed is closed and replaced when the store has confirmed the record or its lease.
+	confirmed chan struct{}
 
 	// The following fields are used only by Run.
 	leaseID   pomelo.LeaseID
@@ -52,7 +57,7 @@
 
 // New returns an announcer of the member; it writes nothing before Run.
 func New(store pomelo.Store, clock pomelo.MonotonicClock, log pomelo.Logger, m pomelo.Member, opts ...func(*Announcer)) *Announcer {
-	a := &Announcer{store: store, clock: clock, log: log, leaseTTL: defaultLeaseTTL, member: m, changed: make(chan struct{}, 1), outage: outage.New()}
+	a := &Announcer{store: store, clock: clock, log: log, leaseTTL: defaultLeaseTTL, member: m, changed: make(chan struct{}, 1), change: 1, confirmed: make(chan struct{}), outage: outage.New()}
 	for _, o := range opts {
 		o(a)
 	}
@@ -82,6 +87,9 @@
 	previous := a.member
 	change(&a.member)
 	unchanged := previous == a.member
+	if !unchanged {
+		a.change++
+	}
 	a.mu.Unlock()
 	if unchanged {
 		return
@@ -144,11 +152,13 @@
 		return err
 	}
 	if a.overwritten.Swap(false) {
+		a.confirm(0)
 		// A process that has read the list meanwhile lacks this member, and may own its resources.
 		a.resign("record_overwritten")
 	}
-	m := a.Member()
+	m, change := a.snapshot()
 	if a.isWritten && m == a.written {
+		a.confirm(change)
 		return nil
 	}
 	if err := a.write(ctx, m); err != nil {
@@ -158,6 +168,7 @@
 		a.isWritten = false
 		return errEpochChanged
 	}
+	a.confirm(change)
 	if a.tenure.Written(a.clock.Monotonic()) {
 		a.resign("record_late")
 	}
@@ -172,6 +183,7 @@
 	}
 	a.log.Info("store_epoch", "epoch", epoch, "lease", a.leaseID)
 	a.isWritten = false
+	a.confirm(0)
 	a.renewedAt = -a.leaseTTL
 	a.UpdateMember(func(m *pomelo.Member) {
 		m.SoleOwner = m.SoleOwner && m.Epoch == epoch
@@ -233,6 +245,7 @@
 	}
 	a.leaseID = 0
 	a.isWritten = false
+	a.confirm(0)
 	id, err := a.store.Grant(ctx, a.leaseTTL)
 	if err != nil {
 		return err
@@ -253,6 +266,7 @@
 	a.renewedAt = now
 	a.tenure.Renewed(now, a.leaseTTL)
 	a.leaseExpiresAt.Store(int64(a.tenure.ExpiresAt()))
+	a.wake()
 }
 
 // LeaseExpiresAt returns the time, by the monotonic clock, until which the store keeps the record at least.
--- a/member.go
+++ b/member.go
@@ -26,6 +26,11 @@
 	UpstreamStartedAt Millis `json:"upstream_born_ms,omitempty"`
 	// UpstreamLeft marks a known upstream that accepts no new calls until it starts again.
 	UpstreamLeft bool `json:"upstream_left,omitempty"`
+	// UpstreamDraining marks a known upstream that has said that it drains, with the sequence number of that heartbeat; -1 lets any later one replace it.
+	UpstreamDraining bool  `json:"upstream_draining,omitempty"`
+	UpstreamSequence int64 `json:"upstream_sequence,omitempty"`
+	// Withdrawals are the deregistrations of upstreams that the process did not know, as EncodeWithdrawals returns them.
+	Withdrawals string `json:"withdrawals,omitempty"`
 	// KeysRequired says that a policy known to the process has required keys, so that a later one without client accounts opens no route.
 	KeysRequired bool `json:"keys_required,omitempty"`
 	// Epoch is the store's epoch that the process knew when it wrote the record; a lower one than the store's marks a record of the copy from which the store returned.
@@ -44,7 +49,13 @@
 	case m.UpstreamStartedAt < 0 || m.UpstreamStartedAt > MaxStartTime:
 		return badMember("its upstream started at " + strconv.FormatInt(int64(m.UpstreamStartedAt), 10))
 	}
-	return nil
+	_, err := DecodeWithdrawals(m.Withdrawals)
+	return err
+}
+
+// HasUsableUpstream reports whether the member's upstream, if it has one, still takes calls; the member itself may be draining.
+func (m Member) HasUsableUpstream() bool {
+	return m.UpstreamID != "" && !m.UpstreamLeft && !m.UpstreamDraining
 }
 
 func badMember(message string) error {
--- a/mesh/components.go
+++ b/mesh/components.go
@@ -220,11 +220,13 @@
 		b.UpdateMember(func(x *pomelo.Member) {
 			x.Service = i.Service
 			x.Slots = i.Slots
-			x.UpstreamID = ""
-			if serving || i.Left {
-				x.UpstreamID = i.ID
-			}
+			x.UpstreamID = i.ID
 			x.UpstreamLeft = i.Left
+			x.UpstreamDraining = !serving && !i.Left
+			x.UpstreamSequence = 0
+			if x.UpstreamDraining {
+				x.UpstreamSequence = i.Sequence
+			}
 			x.UpstreamAddress = i.Address
 			x.UpstreamStartedAt = i.StartedAt
 			x.SetDraining(!serving || n.stopping.Load())
@@ -237,6 +239,10 @@
 	opts := []func(*worker.Worker){
 		worker.WithServices(policyServices{source: v}.Service),
 		worker.WithWaiting(q),
+		worker.WithRecord(),
+		worker.WithWithdrawals(func(l []pomelo.Withdrawal) {
+			b.UpdateMember(func(x *pomelo.Member) { x.Withdrawals = pomelo.EncodeWithdrawals(l) })
+		}),
 		worker.WithResumeTime(pomelo.Millis(resumeIntervals * float64(interval))),
 	}
 	if n.appliesEvacuations() {
--- a/mesh/host.go
+++ b/mesh/host.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/pomeloworks/pomelo"
@@ -21,8 +22,8 @@
 	Ready func(ready func() bool) http.Handler
 }
 
-// Announcer receives the heartbeats of the node's own upstream and its withdrawal.
+// Announcer receives the heartbeats of the node's own upstream and its withdrawal; an error means that they must not be acknowledged.
 type Announcer interface {
-	Announce(i pomelo.Instance)
-	Withdraw(id string, startedAt pomelo.Millis)
+	Announce(ctx context.Context, i pomelo.Instance) error
+	Withdraw(ctx context.Context, id string, startedAt pomelo.Millis) error
 }
--- a/mesh/late_heartbeat_test.go
+++ b/mesh/late_heartbeat_test.go
@@ -9,10 +9,18 @@
 )
 
 // deregister withdraws the upstream that started at the time of its heartbeats.
-func (m *member) deregister() {
-	resp, err := http.Post("http://"+m.settings.ControlAddress+"/instances/"+m.upstream.id+"/deregister", "application/json", strings.NewReader(`{"born":1}`))
-	convey.So(err, convey.ShouldBeNil)
+func (m *member) deregister() int {
+	return m.deregisterWith(`{"born":1}`)
+}
+
+// deregisterWith sends a deregistration with this body, and returns the status, or 0 without an answer.
+func (m *member) deregisterWith(body string) int {
+	resp, err := http.Post("http://"+m.settings.ControlAddress+"/instances/"+m.upstream.id+"/deregister", "application/json", strings.NewReader(body))
+	if err != nil {
+		return 0
+	}
 	_ = resp.Body.Close()
+	return resp.StatusCode
 }
 
 func TestLateHeartbeatOfLeftUpstream(t *testing.T) {
--- a/mesh/left_restart_test.go
+++ b/mesh/left_restart_test.go
@@ -56,7 +56,8 @@
 		}},
 		{"reports that it drains while the store is away, and stops its heartbeats before its node is killed", func(f *fleet, a *member) {
 			f.setStoreFault(away)
-			convey.So(a.heartbeat("draining", 1_000), convey.ShouldEqual, http.StatusOK)
+			// Only what the store holds is acknowledged.
+			convey.So(a.heartbeat("draining", 1_000), convey.ShouldEqual, http.StatusServiceUnavailable)
 			f.restart(a)
 		}},
 	}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -114,13 +114,20 @@
 
 // resume restores the upstream from the record of this VM's previous process.
 func (n *Node) resume() {
+	defer n.components.Worker.EndResume()
 	self := n.components.Beacon.Member()
 	epoch := n.components.View.MembersPosition().Epoch
 	for _, m := range n.components.View.Current() {
-		if m.VM != self.VM || m.Incarnation == self.Incarnation || m.UpstreamID == "" {
+		if m.VM != self.VM || m.Incarnation == self.Incarnation {
 			continue
 		}
-		if m.Epoch < epoch && !m.UpstreamLeft {
+		// Check has read them.
+		withdrawals, _ := pomelo.DecodeWithdrawals(m.Withdrawals)
+		n.components.Worker.ResumeWithdrawals(withdrawals)
+		if m.UpstreamID == "" {
+			continue
+		}
+		if m.Epoch < epoch && m.HasUsableUpstream() {
 			// The store may have lost a later record, which said that the upstream has left.
 			n.components.Log.Info("upstream_not_resumed", "upstream", m.UpstreamID, "service", m.Service, "born", m.UpstreamStartedAt, "reason", "the record is of an earlier epoch of the store", "record_epoch", m.Epoch, "epoch", epoch)
 			continue
@@ -138,6 +145,8 @@
 			Zone:      m.AvailabilityZone,
 			Slots:     m.Slots,
 			StartedAt: m.UpstreamStartedAt,
+			Sequence:  m.UpstreamSequence,
+			Draining:  m.UpstreamDraining,
 			Left:      m.UpstreamLeft,
 		})
 	}
@@ -148,7 +157,7 @@
 	if err := n.components.Listen.Start(s.PeerAddress); err != nil {
 		return err
 	}
-	if err := n.serve("control", s.ControlAddress, n.host.Control(n.components.Worker, s.Service, n.components.Log)); err != nil {
+	if err := n.serve("control", s.ControlAddress, n.host.Control(recorder{n.components.Worker, n.components.Beacon, n.components.Metrics, n.components.Log}, s.Service, n.components.Log)); err != nil {
 		return err
 	}
 	if err := n.serve("ready", s.ReadyAddress, n.host.Ready(n.Ready)); err != nil {
--- a/send/candidates.go
+++ b/send/candidates.go
@@ -37,7 +37,7 @@
 func (s *Sender) draining(service string) []pomelo.Member {
 	var out []pomelo.Member
 	for _, m := range s.members.All() {
-		if m.Service == service && m.Draining && m.UpstreamID != "" && !m.UpstreamLeft {
+		if m.Service == service && m.Draining && m.HasUsableUpstream() {
 			out = append(out, m)
 		}
 	}
--- a/view/members.go
+++ b/view/members.go
@@ -33,7 +33,7 @@
 		switch {
 		case !m.Draining:
 			out = append(out, m)
-		case m.UpstreamID != "" && !m.UpstreamLeft:
+		case m.HasUsableUpstream():
 			draining = append(draining, m)
 		}
 	}
--- a/worker/state.go
+++ b/worker/state.go
@@ -27,7 +27,17 @@
 	if left {
 		s.leave()
 	}
-	s.unconfirmed = !s.instance.Left
+	s.unconfirmed = !s.instance.Draining
+}
+
+// drain takes over from the record that a heartbeat has said that the upstream drains, unless a later one is known.
+func (s *state) drain(i pomelo.Instance) bool {
+	if !s.isSameStart(i) || s.instance.Draining || i.Sequence < s.instance.Sequence {
+		return false
+	}
+	s.instance.Draining = true
+	s.instance.Sequence = i.Sequence
+	return true
 }
 
 // leave marks the upstream as having left.
--- a/worker/withdrawals.go
+++ b/worker/withdrawals.go
@@ -9,17 +9,14 @@
 // maxWithdrawals limits the withdrawals that are kept.
 const maxWithdrawals = 8
 
-// withdrawal is the deregistration of an upstream before this process heard of it; startedAt is 0 until its start is known.
-type withdrawal struct {
-	id        string
-	startedAt pomelo.Millis
-}
-
-// withdrawals are those of the upstreams that the process does not know, the oldest first.
-type withdrawals []withdrawal
+// withdrawals are the deregistrations of the upstreams that the process does not know, the oldest first.
+type withdrawals []pomelo.Withdrawal
 
-func (l *withdrawals) add(id string, startedAt pomelo.Millis) {
-	*l = append(*l, withdrawal{id: id, startedAt: startedAt})
+func (l *withdrawals) add(x pomelo.Withdrawal) {
+	if slices.Contains(*l, x) {
+		return
+	}
+	*l = append(*l, x)
 	if len(*l) > maxWithdrawals {
 		*l = slices.Delete(*l, 0, 1)
 	}
@@ -29,13 +26,13 @@
 func (l withdrawals) include(i pomelo.Instance) bool {
 	for n := range l {
 		x := &l[n]
-		if x.id != i.ID {
+		if x.ID != i.ID {
 			continue
 		}
-		if x.startedAt == 0 {
-			x.startedAt = i.StartedAt
+		if x.StartedAt == 0 {
+			x.StartedAt = i.StartedAt
 		}
-		if i.StartedAt <= x.startedAt {
+		if i.StartedAt <= x.StartedAt {
 			return true
 		}
 	}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pomeloworks/pomelo"
 	"github.com/pomeloworks/pomelo/detect"
@@ -15,6 +17,9 @@
 // defaultResumeTime is the time after the start of the process, in milliseconds, for which a resumed upstream is used without a heartbeat.
 const defaultResumeTime = pomelo.Millis(2_250)
 
+// anySequence is below the sequence number of any heartbeat.
+const anySequence = -1
+
 // Worker implements pomelo.Handler for this node's upstream.
 type Worker struct {
 	clock    pomelo.Clock
@@ -25,11 +30,15 @@
 	metrics  pomelo.Metrics
 	log      pomelo.Logger
 	onChange func(pomelo.Instance, bool)
-	guard    *guard.Guard
-	service  func(name string) (pomelo.TrafficService, bool)
+	// onWithdrawals is called with the withdrawals of unknown upstreams when they have changed.
+	onWithdrawals func([]pomelo.Withdrawal)
+	guard         *guard.Guard
+	service       func(name string) (pomelo.TrafficService, bool)
 	// evacuation is set by WithEvacuations.
 	evacuation evacuation
 
+	// resuming is set until the record of the node's previous process has been read, which may say that the upstream has left.
+	resuming atomic.Bool
 	// resumeUntil is the time, by the clock, until which a resumed upstream is used without a heartbeat.
 	resumeUntil pomelo.Millis
 
@@ -56,18 +65,19 @@
 // New returns a worker without an upstream; onChange is called at each change of the upstream, in their order, with whether it accepts calls; it must neither block nor call the worker.
 func New(clock pomelo.Clock, limiter pomelo.PacedLimiter, link *uplink.Client, detector *detect.Detector, crashes *filter.Filter, metrics pomelo.Metrics, log pomelo.Logger, onChange func(pomelo.Instance, bool), opts ...func(*Worker)) *Worker {
 	w := &Worker{
-		clock:    clock,
-		limiter:  limiter,
-		link:     link,
-		detector: detector,
-		filter:   crashes,
-		metrics:  metrics,
-		log:      log,
-		onChange: onChange,
-		guard:    guard.New(log),
-		service:  func(string) (pomelo.TrafficService, bool) { return pomelo.TrafficService{}, false },
-		tracker:  warmup.New(),
-		running:  map[string]*runningCall{},
+		clock:         clock,
+		limiter:       limiter,
+		link:          link,
+		detector:      detector,
+		filter:        crashes,
+		metrics:       metrics,
+		log:           log,
+		onChange:      onChange,
+		onWithdrawals: func([]pomelo.Withdrawal) {},
+		guard:         guard.New(log),
+		service:       func(string) (pomelo.TrafficService, bool) { return pomelo.TrafficService{}, false },
+		tracker:       warmup.New(),
+		running:       map[string]*runningCall{},
 	}
 	w.resumeUntil = clock.Now() + defaultResumeTime
 	for _, o := range opts {
@@ -85,6 +95,21 @@
 	return func(w *Worker) { w.resumeUntil = w.clock.Now() + d }
 }
 
+// WithRecord makes the worker use no upstream before EndResume, whatever its heartbeats say.
+func WithRecord() func(*Worker) {
+	return func(w *Worker) { w.resuming.Store(true) }
+}
+
+// EndResume tells that the record of the node's previous process, if there was one, has been passed to Resume.
+func (w *Worker) EndResume() {
+	w.resuming.Store(false)
+}
+
+// WithWithdrawals sets the function that is called, like onChange, with the deregistrations of unknown upstreams when they have changed.
+func WithWithdrawals(f func([]pomelo.Withdrawal)) func(*Worker) {
+	return func(w *Worker) { w.onWithdrawals = f }
+}
+
 // Announce applies a heartbeat of the upstream; late and repeated heartbeats are ignored.
 func (w *Worker) Announce(i pomelo.Instance) {
 	w.mu.Lock()
@@ -95,6 +120,7 @@
 	}
 	previous := w.state
 	w.state.replace(i)
+	w.onWithdrawals(slices.Clone(w.state.withdrawals))
 	w.tracker.Heartbeat(w.clock.Now(), i)
 	i = w.state.instance
 	// The limit applies before waiting calls start at an upstream that states no other.
@@ -113,17 +139,16 @@
 	w.onChange(i, !i.Draining)
 }
 
-// Resume restores the upstream that the node's previous process knew; if a heartbeat has arrived, only that the upstream has left. Later heartbeats replace it; without one it is used until the resume time has passed, since the record may lack that it has left.
+// Resume restores the upstream that the node's previous process knew; if a heartbeat has arrived, only that the upstream drains or has left. Later heartbeats replace it; without one it is used until the resume time has passed, since the record may lack that it has left.
 func (w *Worker) Resume(i pomelo.Instance) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	i.Draining = i.Draining || i.Left
 	if w.state.known {
-		if i.Left {
-			w.leave(i)
-		}
+		w.resumeLeaving(i)
 		return
 	}
-	if !i.Left && w.isResumeOver() {
+	if !i.Draining && w.isResumeOver() {
 		w.log.Info("upstream_not_resumed", "upstream", i.ID, "service", i.Service, "born", i.StartedAt, "reason", "no heartbeat since the start of the process")
 		return
 	}
@@ -136,6 +161,33 @@
 	w.onChange(i, !i.Draining)
 }
 
+// resumeLeaving takes over from the record that the known upstream drains or has left; mu must be locked.
+func (w *Worker) resumeLeaving(i pomelo.Instance) {
+	if i.Left {
+		w.leave(i)
+		return
+	}
+	if !i.Draining || !w.state.drain(i) {
+		return
+	}
+	i = w.state.instance
+	w.log.Info("upstream_changed", "upstream", i.ID, "service", i.Service, "born", i.StartedAt, "sequence", i.Sequence, "slots", i.Slots, "leaving", i.Draining, "warmup_ms", i.WarmupLeft)
+	w.onChange(i, false)
+}
+
+// ResumeWithdrawals restores the deregistrations of upstreams that the node's previous process did not know; it must be called before Resume.
+func (w *Worker) ResumeWithdrawals(l []pomelo.Withdrawal) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, x := range l {
+		w.state.withdrawals.add(x)
+	}
+	if w.state.known && w.state.withdrawals.include(w.state.instance) {
+		w.leave(w.state.instance)
+	}
+	w.onWithdrawals(slices.Clone(w.state.withdrawals))
+}
+
 func (w *Worker) isResumeOver() bool {
 	return w.clock.Now() >= w.resumeUntil
 }
@@ -147,6 +199,7 @@
 	}
 	w.state.unconfirmed = false
 	w.state.instance.Draining = true
+	w.state.instance.Sequence = anySequence
 	i := w.state.instance
 	w.log.Warn("upstream_unconfirmed", "upstream", i.ID, "service", i.Service, "born", i.StartedAt, "remedy", "send heartbeats to this node, or deregister the upstream")
 	w.onChange(i, false)
@@ -164,7 +217,8 @@
 	if !w.state.known || i.ID != id || startedAt > i.StartedAt {
 		// Its record or a late heartbeat may still be read.
 		w.log.Info("withdrawal_kept", "upstream", id, "born", startedAt, "known", i.ID)
-		w.state.withdrawals.add(id, startedAt)
+		w.state.withdrawals.add(pomelo.Withdrawal{ID: id, StartedAt: startedAt})
+		w.onWithdrawals(slices.Clone(w.state.withdrawals))
 	}
 	if !w.state.known || i.ID != id {
 		return
@@ -293,6 +347,9 @@
 	if f := w.evacuationRefusal(); f != nil {
 		return pomelo.Instance{}, f
 	}
+	if w.resuming.Load() {
+		return pomelo.Instance{}, pomelo.NewFault(pomelo.KindNoUpstream, "this node has not read its own record yet", "send the request to another upstream")
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.endResume()
