rates: an account whose limits change keeps what it has used

Cause: the resource of a shard was named after the number of shards, which follows from the burst. Another number had other buckets, which start as if they had earned since their owner got them, while the earlier ones fill up.

Change: every account has twelve shards, and uses the first ones by its burst, so that no change moves a bucket. Owners tell their buckets of a change when they learn of it. A shard that comes into use starts empty, one out of use loses its tokens, and where more shards are used than before the earlier ones give up tokens as fast as the others earn them. A bucket in another ownership of the process keeps what it has granted.

--- a/config/view.go
+++ b/config/view.go
@@ -20,6 +20,8 @@
 	routes     map[string]pomelo.Route
 	objectives map[string]pomelo.Objective
 	stops      map[string]pomelo.Stop
+	// onAccounts are called with the accounts whose records have been applied.
+	onAccounts []func([]pomelo.ClientAccount)
 }
 
 // New returns a view of the mirror's configuration records.
@@ -46,14 +48,37 @@
 	v.fresh = fresh
 }
 
+// OnAccounts registers a function that is called with the client accounts whose rate or burst may have changed; it must be called before the first change.
+func (v *View) OnAccounts(f func([]pomelo.ClientAccount)) {
+	v.onAccounts = append(v.onAccounts, f)
+}
+
 func (v *View) apply(records []pomelo.Record) {
+	accounts := v.applyAll(records)
+	if len(accounts) == 0 {
+		return
+	}
+	for _, f := range v.onAccounts {
+		f(accounts)
+	}
+}
+
+// applyAll applies the records, and returns the client accounts among them.
+func (v *View) applyAll(records []pomelo.Record) []pomelo.ClientAccount {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	var accounts []pomelo.ClientAccount
 	for _, r := range records {
 		if err := v.applyRecord(r); err != nil {
 			v.log.Warn("configuration_record_unreadable", "key", r.Key, "error", err.Error())
+			continue
+		}
+		name, ok := strings.CutPrefix(r.Key, pomelo.PrefixAccount)
+		if a, known := v.accounts[name]; ok && known {
+			accounts = append(accounts, a)
 		}
 	}
+	return accounts
 }
 
 // Account returns the client account with this name.
--- a/grant/bound_test.go
+++ b/grant/bound_test.go
@@ -49,13 +49,13 @@
 			m.delay = func() int64 { return 300 + int64(m.random.IntN(700)) }
 		},
 		"jump":        func() { anyEntry().clock.jump += pomelo.Millis(pick(5_000)) },
-		"move":        func() { m.moveShard(pick(len(m.shards)), pick(len(m.owners))) },
+		"move":        func() { m.moveShard(pick(pomelo.ShardCount(m.account)), pick(len(m.owners))) },
 		"pause":       func() { anyOwner().paused = true },
 		"resume":      func() { m.resume(anyOwner()) },
 		"lose_home":   func() { m.loseOwner(pick(len(m.owners))) },
 		"lose_entry":  func() { m.loseEntry(pick(len(m.entries))) },
 		"pause_entry": func() { m.pauseEntry(anyEntry(), int64(pick(30))*100_000) },
-		"late_act":    func() { m.issueLate(pick(len(m.shards)), anyEntry(), int64(pick(30))*100_000) },
+		"late_act":    func() { m.issueLate(pick(pomelo.ShardCount(m.account)), anyEntry(), int64(pick(30))*100_000) },
 	}
 }
 
@@ -120,11 +120,11 @@
 		return
 	}
 	requestedAt := m.wallTime(e.clock)
-	a := pomelo.GrantRequest{Account: m.account.Name, Shard: shard, Shards: len(m.shards), Tokens: 2, TTL: MaxTTL}
+	a := pomelo.GrantRequest{Account: m.account.Name, Shard: shard, Tokens: 2, TTL: MaxTTL}
 	ownedFor := pomelo.Millis(float64(m.now-t.takenAt) / microsPerMilli)
 	h.paused = true
 	m.advance(d)
-	g := h.buckets.Issue(m.monotonic(h.clock), t.since, ownedFor, m.resource(shard), pomelo.ShardOf(m.account), a)
+	g := h.buckets.Issue(m.monotonic(h.clock), t.since, ownedFor, m.resourceAt(h, shard), pomelo.ShardOf(h.account, shard), a)
 	e.pool.ApplyGrant(requestedAt, m.wallTime(e.clock), a.TTL, g)
 	m.resume(h)
 }
@@ -151,7 +151,8 @@
 func scripted(seed uint64, fault injectedFault) *model {
 	script := rand.New(rand.NewPCG(seed, 1))
 	a := pomelo.ClientAccount{Name: "growers", Rate: 50, Burst: []float64{5, 10, 40}[script.IntN(3)]}
-	m := newModel(seed, a, 3, 3, fault)
+	// More owners than entries, so that shards move to owners that have never had them.
+	m := newModel(seed, a, 6, 3, fault)
 	actions := m.actions(script.IntN)
 	names := slices.Sorted(maps.Keys(actions))
 	for range boundSteps {
--- a/grant/buckets.go
+++ b/grant/buckets.go
@@ -33,6 +33,9 @@
 	tokens      float64
 	filledAt    pomelo.Millis
 	outstanding float64
+	// excess is the number of tokens, granted ones included, that the bucket may hold above its burst because the account's burst was cut into more shards; it falls by drainFactor times what the bucket would earn, as fast as the other shards fill.
+	excess      float64
+	drainFactor float64
 	grants      map[uint64]outstandingGrant
 	firstExpiry pomelo.Millis
 }
@@ -75,27 +78,45 @@
 	return g
 }
 
-// bucket returns the shard's bucket; a new owner's bucket starts with the tokens earned since all grants of the previous owner have expired.
+// bucket returns the shard's bucket; a new owner's bucket starts with the tokens earned since all grants of the previous owner have expired. What an earlier ownership of this process has granted stays used.
 func (b *Buckets) bucket(now pomelo.Millis, o ownership, resource string, limits pomelo.RateShard) *bucket {
 	shard, ok := b.buckets[resource]
 	if ok && shard.ownedSince == o.since {
 		return shard
 	}
-	shard = &bucket{ownedSince: o.since, filledAt: now, grants: map[uint64]outstandingGrant{}}
-	earned := o.duration - ownerExpiry(MaxTTL)
-	shard.filledAt = now - earned
-	shard.rate = limits.Rate
-	shard.burst = limits.Burst
-	b.buckets[resource] = shard
-	return shard
+	fresh := &bucket{ownedSince: o.since, filledAt: now - (o.duration - ownerExpiry(MaxTTL)), rate: limits.Rate, burst: limits.Burst, grants: map[uint64]outstandingGrant{}}
+	if ok {
+		shard.reown(now, fresh)
+		return shard
+	}
+	b.buckets[resource] = fresh
+	return fresh
+}
+
+// reown continues the bucket in another ownership, in which it has earned no more than a fresh one.
+func (b *bucket) reown(now pomelo.Millis, fresh *bucket) {
+	b.advance(now)
+	fresh.advance(now)
+	b.ownedSince = fresh.ownedSince
+	b.tokens = min(b.tokens, fresh.tokens)
+	b.filledAt = max(b.filledAt, fresh.filledAt)
 }
 
 // applyLimits fills the bucket up to now and then applies a changed rate and burst.
 func (b *bucket) applyLimits(now pomelo.Millis, limits pomelo.RateShard) {
 	b.advance(now)
+	if b.rate == limits.Rate && b.burst == limits.Burst {
+		return
+	}
 	b.rate = limits.Rate
 	b.burst = limits.Burst
-	b.tokens = max(0, min(b.tokens, b.burst-b.outstanding))
+	b.excess = 0
+	b.clip()
+}
+
+// clip removes the tokens for which there is no room.
+func (b *bucket) clip() {
+	b.tokens = max(0, min(b.tokens, b.burst+b.excess-b.outstanding))
 }
 
 // advance adds the tokens earned up to now; a grant that expires in between frees room only from its expiry on.
@@ -114,7 +135,9 @@
 	}
 	b.filledAt = now
 	earned := b.rate * (1 - driftFraction) * float64(d) / millisPerSecond
-	b.tokens = max(0, min(b.tokens+earned, b.burst-b.outstanding))
+	b.excess = max(0, b.excess-b.drainFactor*b.rate*float64(d)/millisPerSecond)
+	b.tokens = max(b.tokens, min(b.tokens+earned, b.burst-b.outstanding))
+	b.clip()
 }
 
 func (b *bucket) expireGrants(now pomelo.Millis) {
@@ -140,6 +163,7 @@
 	}
 	used := min(max(u.Used, g.used), g.tokens)
 	b.outstanding = max(0, b.outstanding-(used-g.used))
+	b.excess = max(0, min(b.excess, b.tokens+b.outstanding-b.burst))
 	g.used = used
 	b.grants[u.ID] = g
 	if !u.Finished {
@@ -148,7 +172,8 @@
 	delete(b.grants, u.ID)
 	unused := g.tokens - g.used
 	b.outstanding = max(0, b.outstanding-unused)
-	b.tokens = max(0, min(b.tokens+unused, b.burst-b.outstanding))
+	b.tokens += unused
+	b.clip()
 }
 
 func (b *bucket) withdraw(want float64) float64 {
--- a/grant/model_test.go
+++ b/grant/model_test.go
@@ -29,6 +29,7 @@
 	faultTTLFromAnswer      injectedFault = "grants whose lifetime counts from the answer instead of the request"
 	faultIgnoresOutstanding injectedFault = "a bucket that fills up regardless of outstanding grants"
 	faultKeepsIssuing       injectedFault = "an owner that continues after another took over"
+	faultOtherBuckets       injectedFault = "a change of the number of shards that leads to other buckets"
 )
 
 type event struct {
@@ -62,6 +63,8 @@
 type ownerNode struct {
 	buckets *Buckets
 	clock   driftingClock
+	// account is the account as this node knows it.
+	account pomelo.ClientAccount
 	dead    bool
 	paused  bool
 	inbox   []func()
@@ -78,6 +81,7 @@
 
 // entryNode is a node that admits requests, with the state of one account's pool.
 type entryNode struct {
+	account    pomelo.ClientAccount
 	pool       *pool.Pool
 	clock      driftingClock
 	waiters    []*waiter
@@ -121,14 +125,14 @@
 	m := &model{random: rand.New(rand.NewPCG(seed, 3)), account: a, injected: fault}
 	m.delay = func() int64 { return 300 + int64(m.random.IntN(700)) }
 	for range owners {
-		m.owners = append(m.owners, &ownerNode{buckets: New(m.random.Uint64()), clock: m.newClock(), lastOwned: map[int]shardOwnership{}})
+		m.owners = append(m.owners, &ownerNode{account: a, buckets: New(m.random.Uint64()), clock: m.newClock(), lastOwned: map[int]shardOwnership{}})
 	}
-	for i := range pomelo.ShardCount(a) {
+	for i := range pomelo.MaxShards {
 		m.shards = append(m.shards, shardOwnership{owner: i % owners, since: 1, takenAt: -1 << 40})
 		m.owners[i%owners].lastOwned[i] = m.shards[i]
 	}
 	for range entries {
-		e := &entryNode{pool: m.newPool(), clock: m.newClock(), owners: m.ownerNames()}
+		e := &entryNode{account: a, pool: m.newPool(), clock: m.newClock(), owners: m.ownerNames()}
 		m.entries = append(m.entries, e)
 		m.schedule(int64(m.random.IntN(100_000)), func() { m.reportUse(e) })
 	}
@@ -241,8 +245,8 @@
 	if m.injected == faultNoWait {
 		ownedFor += 100_000
 	}
-	resource := m.resource(a.Shard)
-	g := h.buckets.Issue(m.monotonic(h.clock), t.since, ownedFor, resource, pomelo.ShardOf(m.account), a)
+	resource := m.resourceAt(h, a.Shard)
+	g := h.buckets.Issue(m.monotonic(h.clock), t.since, ownedFor, resource, pomelo.ShardOf(h.account, a.Shard), a)
 	if m.injected == faultIgnoresOutstanding {
 		h.buckets.buckets[resource].outstanding = 0
 	}
--- a/grant/round_test.go
+++ b/grant/round_test.go
@@ -8,7 +8,7 @@
 // offerRequest simulates the arrival of a request; returned marks one that was refused before.
 func (m *model) offerRequest(e *entryNode, returned bool) {
 	now := m.wallTime(e.clock)
-	e.pool.SetAccount(m.account)
+	e.pool.SetAccount(e.account)
 	e.pool.CountRequest(now)
 	if len(e.waiters) == 0 && e.pool.TryTake(now) {
 		m.admitted = append(m.admitted, m.now)
--- a/mesh/accounts.go
+++ b/mesh/accounts.go
@@ -17,3 +17,16 @@
 	t, ok := p.Account(name)
 	return t.ClientAccount, ok
 }
+
+// all returns the rates and bursts of all client accounts.
+func (a policyAccounts) all() []pomelo.ClientAccount {
+	p, ok := a.source.Policy()
+	if !ok {
+		return nil
+	}
+	var out []pomelo.ClientAccount
+	for _, t := range p.Accounts() {
+		out = append(out, t.ClientAccount)
+	}
+	return out
+}
--- a/mesh/components.go
+++ b/mesh/components.go
@@ -191,7 +191,10 @@
 }
 
 func newRateLimiter(v *view.View, t *owner.Tracker, d *dialer.Pool, c bootClock, m *metric.Sink) *rates.Limiter {
-	return rates.New(policyAccounts{source: v}, t, v, d, c, m, newSeed())
+	accounts := policyAccounts{source: v}
+	l := rates.New(accounts, t, v, d, c, m, newSeed())
+	v.OnPolicy(func() { l.ApplyAccounts(accounts.all()) })
+	return l
 }
 
 func newQueue(c *clock.Clock) *queue.Queue {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
@@ -104,6 +105,15 @@
 	return a, ok
 }
 
+// Accounts returns the client accounts ordered by name.
+func (p *Policy) Accounts() []pomelo.TrafficAccount {
+	out := make([]pomelo.TrafficAccount, 0, len(p.accounts))
+	for _, name := range slices.Sorted(maps.Keys(p.accounts)) {
+		out = append(out, p.accounts[name])
+	}
+	return out
+}
+
 // Service returns the service with this name.
 func (p *Policy) Service(name string) (pomelo.TrafficService, bool) {
 	s, ok := p.services[name]
--- a/policy_spec.go
+++ b/policy_spec.go
@@ -77,6 +77,8 @@
 	// AccountByKey returns the client account that owns the key.
 	AccountByKey(keyID string) (TrafficAccount, bool)
 	Account(name string) (TrafficAccount, bool)
+	// Accounts returns the client accounts ordered by name.
+	Accounts() []TrafficAccount
 	Service(name string) (TrafficService, bool)
 	// KeysRequired reports whether requests on routes that are not open need a key.
 	KeysRequired() bool
--- a/pool/plan.go
+++ b/pool/plan.go
@@ -78,7 +78,7 @@
 	if need <= 0 {
 		return false
 	}
-	for i := range p.shards {
+	for i := range p.active {
 		if p.shards[i].requestedAt >= now-probeInterval {
 			return false
 		}
@@ -93,12 +93,12 @@
 
 // maxRequest returns the maximum for one token request, so that no node empties a shard ahead of its demand.
 func (p *Pool) maxRequest(need float64) float64 {
-	return max(requestFraction*pomelo.ShardOf(p.account).Burst, min(need, pomelo.ShardOf(p.account).Burst), 1)
+	return max(requestFraction*p.limits().Burst, min(need, p.limits().Burst), 1)
 }
 
 func (p *Pool) newRequest(now pomelo.Millis, i int, want float64) pomelo.GrantRequest {
 	s := &p.shards[i]
-	a := pomelo.GrantRequest{Account: p.account.Name, Shard: i, Shards: len(p.shards), Tokens: want, TTL: p.GrantTTL(now), Used: s.takeReports()}
+	a := pomelo.GrantRequest{Account: p.account.Name, Shard: i, Tokens: want, TTL: p.GrantTTL(now), Used: s.takeReports()}
 	if want > 0 {
 		s.requestedAt = now
 	}
@@ -109,8 +109,8 @@
 func (p *Pool) shardsByTokens(now pomelo.Millis, owners []string, since pomelo.Millis, includeFailed bool) []int {
 	var out []int
 	p.firstShard++
-	for j := range owners {
-		i := (p.firstShard + j) % len(owners)
+	for j := range p.active {
+		i := (p.firstShard + j) % p.active
 		owner := owners[i]
 		if owner == "" || p.shards[i].requestedAt >= since || !includeFailed && now < p.shards[i].failedUntil {
 			continue
@@ -124,7 +124,7 @@
 }
 
 func (p *Pool) allFailed(now pomelo.Millis) bool {
-	for i := range p.shards {
+	for i := range p.active {
 		if now >= p.shards[i].failedUntil {
 			return false
 		}
@@ -135,18 +135,18 @@
 // FailedShare returns the share of shards, from 0 to 1, whose owners were unresponsive or have changed lately.
 func (p *Pool) FailedShare(now pomelo.Millis) float64 {
 	n := 0
-	for i := range p.shards {
+	for i := range p.active {
 		if now < p.shards[i].failedUntil {
 			n++
 		}
 	}
-	return float64(n) / float64(len(p.shards))
+	return float64(n) / float64(p.active)
 }
 
 // expectedTokens returns how many tokens all shards together may have by now.
 func (p *Pool) expectedTokens(now pomelo.Millis) float64 {
 	n := 0.0
-	for i := range p.shards {
+	for i := range p.active {
 		if now >= p.shards[i].failedUntil {
 			n += p.expectedTokensLeft(now, i)
 		}
@@ -166,7 +166,7 @@
 
 // tokensAt returns the tokens of a shard by now if it has kept the share of what it has earned since its owner's last answer.
 func (p *Pool) tokensAt(now pomelo.Millis, i int, share float64) float64 {
-	limits := pomelo.ShardOf(p.account)
+	limits := p.limits()
 	s := &p.shards[i]
 	earned := limits.Rate * float64(max(0, now-s.tokensLeftAt)) / millisPerSecond
 	return min(limits.Burst, s.tokensLeft+share*earned)
@@ -192,7 +192,7 @@
 // startsIn returns the mean time, in milliseconds, until the shards with responsive owners start to earn tokens.
 func (p *Pool) startsIn(now pomelo.Millis) pomelo.Millis {
 	sum, n := pomelo.Millis(0), pomelo.Millis(0)
-	for i := range p.shards {
+	for i := range p.active {
 		if now < p.shards[i].failedUntil {
 			continue
 		}
@@ -214,7 +214,7 @@
 }
 
 func (p *Pool) isReportDue(shard int) bool {
-	return p.shards[shard].isReportDue(reportFraction * pomelo.ShardOf(p.account).Burst)
+	return p.shards[shard].isReportDue(reportFraction * p.limits().Burst)
 }
 
 // PlanReports returns reports for owners that need the room again soon: of grants that expire, and of much use.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -37,9 +37,11 @@
 // Pool is the set of one account's tokens at one node; it is not safe for concurrent use.
 type Pool struct {
 	account pomelo.ClientAccount
-	shards  []shardState
-	demand  demand
-	yield   yield
+	// shards are all shards of the account; only the first active ones are asked for tokens.
+	shards [pomelo.MaxShards]shardState
+	active int
+	demand demand
+	yield  yield
 	// firstShard comes first among shards with the same number of expected tokens; it differs between nodes.
 	firstShard int
 	// refusedShare is an exponential moving average of the share of requests that found no token.
@@ -74,26 +76,41 @@
 
 // New returns an empty pool; firstShard is the shard that it asks first, and should differ between nodes.
 func New(a pomelo.ClientAccount, firstShard int) *Pool {
-	p := &Pool{account: a, yield: 1, firstShard: firstShard}
-	p.shards = make([]shardState, pomelo.ShardCount(a))
+	p := &Pool{account: a, active: pomelo.ShardCount(a), yield: 1, firstShard: firstShard}
 	for i := range p.shards {
-		// A shard counts as full until its owner's first answer.
-		p.shards[i].tokensLeft = pomelo.ShardOf(a).Burst
-		p.shards[i].requestedAt = -1
+		p.expectFull(i)
 	}
 	return p
 }
 
-// SetAccount applies a change of the account's rate and burst; a change of the shard count drops all grants.
+// expectFull makes a shard count as full until its owner's next answer.
+func (p *Pool) expectFull(shard int) {
+	p.shards[shard].tokensLeft = pomelo.ShardOf(p.account, shard).Burst
+	p.shards[shard].requestedAt = -1
+}
+
+// SetAccount applies a change of the account's rate and burst; the grants stay usable.
 func (p *Pool) SetAccount(a pomelo.ClientAccount) {
 	if a == p.account {
 		return
 	}
-	if pomelo.ShardCount(a) != len(p.shards) {
-		*p = *New(a, p.firstShard)
-		return
-	}
+	previous := p.active
 	p.account = a
+	p.active = pomelo.ShardCount(a)
+	for i := previous; i < p.active; i++ {
+		p.expectFull(i)
+	}
+}
+
+// Concerns reports whether the pool may have something to tell the shard's owner.
+func (p *Pool) Concerns(shard int) bool {
+	s := &p.shards[shard]
+	return shard < p.active || len(s.grants) > 0 || len(s.reports) > 0
+}
+
+// limits returns the rate and burst of each shard that is in use.
+func (p *Pool) limits() pomelo.RateShard {
+	return pomelo.ShardOf(p.account, 0)
 }
 
 // CountRequest counts one request towards the expected demand.
--- a/rate_grant.go
+++ b/rate_grant.go
@@ -7,8 +7,7 @@
 	Tokens  float64 `cbor:"3,keyasint"`
 	TTL     Millis  `cbor:"4,keyasint"`
 	// Used reports the use of earlier grants.
-	Used   []GrantUsage `cbor:"5,keyasint,omitempty"`
-	Shards int          `cbor:"6,keyasint"`
+	Used []GrantUsage `cbor:"5,keyasint,omitempty"`
 }
 
 // GrantUsage is the number of tokens of a grant used so far; Finished means that no more will be used.
@@ -54,9 +53,11 @@
 	Burst float64
 }
 
-// Number of shards by the burst of the client account, and the minimum burst of each size, in requests.
+// MaxShards is the number of shards of any account's token bucket; an account with a small burst uses only the first ones.
+const MaxShards = 12
+
+// Number of shards in use by the burst of the client account, and the minimum burst of each number, in requests.
 const (
-	shardsLargeBurst  = 12
 	shardsMediumBurst = 6
 	shardsSmallBurst  = 3
 	largeBurst        = 18
@@ -64,11 +65,11 @@
 	smallBurst        = 4.5
 )
 
-// ShardCount returns the number of shards of the account's token bucket, which depends on its burst.
+// ShardCount returns the number of shards of the account's token bucket that are in use, which depends on its burst.
 func ShardCount(a ClientAccount) int {
 	switch {
 	case a.Burst >= largeBurst:
-		return shardsLargeBurst
+		return MaxShards
 	case a.Burst >= mediumBurst:
 		return shardsMediumBurst
 	case a.Burst >= smallBurst:
@@ -77,8 +78,11 @@
 	return 1
 }
 
-// ShardOf returns one shard of the account's token bucket; all shards are equal.
-func ShardOf(a ClientAccount) RateShard {
+// ShardOf returns a shard of the account's token bucket: an equal part of it, or nothing if the shard is not in use.
+func ShardOf(a ClientAccount, shard int) RateShard {
+	if shard < 0 || shard >= ShardCount(a) {
+		return RateShard{}
+	}
 	n := float64(ShardCount(a))
 	return RateShard{Rate: a.Rate / n, Burst: a.Burst / n}
 }
--- a/rates/limiter.go
+++ b/rates/limiter.go
@@ -49,6 +49,8 @@
 	startID   uint64
 	bucketsMu sync.Mutex
 	buckets   *grant.Buckets
+	// known holds the rate and burst that this node's buckets were last told of, also of accounts that have been removed since; bucketsMu guards it.
+	known map[string]knownAccount
 }
 
 // account is the state of one client account at this node.
@@ -76,6 +78,7 @@
 		accounts:  map[string]*account{},
 		startID:   startID,
 		buckets:   grant.New(startID),
+		known:     map[string]knownAccount{},
 	}
 }
 
@@ -184,7 +187,7 @@
 
 // refuse returns the refusal with the time after which the shard owners may have tokens again.
 func (l *Limiter) refuse(a *account, message string) error {
-	if _, ok := l.ownership.Owner(shardResource(a.config, 0)); !ok {
+	if _, ok := l.ownership.Owner(shardResource(a.name, 0)); !ok {
 		f := pomelo.NewFault(pomelo.KindNotAuthoritative, "no home of the client account's rate is known", "come back after the given time, or send the request to another node")
 		f.RetryAfter = noOwnerRetryAfter
 		return f
--- a/rates/limiter_test.go
+++ b/rates/limiter_test.go
@@ -109,6 +109,38 @@
 			_, err := admitAll(other, 1)
 			convey.So(pomelo.IsKind(err, pomelo.KindNotAuthoritative), convey.ShouldBeTrue)
 		})
+		convey.Convey("no series of changes gives it the burst again", func() {
+			steps := []func(a *pomelo.ClientAccount){
+				func(a *pomelo.ClientAccount) { a.Burst = 17 },
+				func(a *pomelo.ClientAccount) { a.Burst = 8 },
+				func(a *pomelo.ClientAccount) { a.Burst = 4 },
+				func(a *pomelo.ClientAccount) { a.Burst = 9 },
+				func(a *pomelo.ClientAccount) { a.Rate, a.Burst = 0, 20 },
+				func(a *pomelo.ClientAccount) { a.Rate = 0.001 },
+				func(a *pomelo.ClientAccount) { a.Burst = 40 },
+				func(a *pomelo.ClientAccount) { a.Burst = 20 },
+			}
+			admitted, _ := admitAll(other, 40)
+			for _, change := range steps {
+				change(&s.account)
+				s.owner.ApplyAccounts([]pomelo.ClientAccount{s.account})
+				n, _ := admitAll(other, 3)
+				admitted += n
+			}
+			convey.So(admitted, convey.ShouldBeLessThanOrEqualTo, 20)
+			convey.So(admitted, convey.ShouldBeGreaterThanOrEqualTo, 19)
+		})
+		convey.Convey("one that is removed and put back has what it had", func() {
+			admitted, _ := admitAll(other, 10)
+			account := s.account
+			s.account = pomelo.ClientAccount{Name: "else", Rate: 0.001, Burst: 5}
+			s.owner.ApplyAccounts([]pomelo.ClientAccount{s.account})
+			s.account = account
+			s.owner.ApplyAccounts([]pomelo.ClientAccount{s.account})
+			n, _ := admitAll(other, 20)
+			convey.So(admitted+n, convey.ShouldBeLessThanOrEqualTo, 20)
+			convey.So(admitted+n, convey.ShouldBeGreaterThanOrEqualTo, 19)
+		})
 		convey.Convey("an account without a rate is refused", func() {
 			err := other.Admit(context.Background(), pomelo.Call{Account: "nobody"})
 			convey.So(pomelo.IsKind(err, pomelo.KindRateExceeded), convey.ShouldBeTrue)
--- a/rates/owner.go
+++ b/rates/owner.go
@@ -27,17 +27,16 @@
 func (l *Limiter) issue(a pomelo.GrantRequest) pomelo.Grant {
 	moved := pomelo.Grant{Account: a.Account, Shard: a.Shard, Moved: true}
 	c, ok := l.config.Account(a.Account)
-	if !ok || a.Shards != pomelo.ShardCount(c) || a.Shard < 0 || a.Shard >= a.Shards {
+	if !ok || a.Shard < 0 || a.Shard >= pomelo.MaxShards {
 		return moved
 	}
-	resource := shardResource(c, a.Shard)
 	l.bucketsMu.Lock()
 	defer l.bucketsMu.Unlock()
-	// OwnedFor is read after OwnedSince, so that it never belongs to an earlier ownership than the one that OwnedSince identifies.
-	since := l.ownership.OwnedSince(resource)
-	ownedFor := l.ownership.OwnedFor(resource)
+	k := l.applyAccount(c)
+	resource := shardResource(c.Name, a.Shard)
+	since, ownedFor := l.ownershipOf(resource, k)
 	if since == 0 {
 		return moved
 	}
-	return l.buckets.Issue(l.clock.Monotonic(), since, ownedFor, resource, pomelo.ShardOf(c), a)
+	return l.buckets.Issue(l.clock.Monotonic(), since, ownedFor, resource, pomelo.ShardOf(c, a.Shard), a)
 }
--- a/rates/round.go
+++ b/rates/round.go
@@ -76,7 +76,7 @@
 	now := l.clock.Now()
 	a.serve(now)
 	a.refuseExpired(now)
-	owners := l.shardOwners(a.config)
+	owners := l.shardOwners(a)
 	requests := a.pool.PlanRequests(now, len(a.waiters), owners.names, r.since)
 	if len(requests) > 0 || r.pending.count > 0 {
 		return roundStep{requests: requests, owners: owners}
@@ -145,7 +145,7 @@
 		a.mu.Unlock()
 		return
 	}
-	owners := l.shardOwners(a.config)
+	owners := l.shardOwners(a)
 	requests := a.pool.PlanReports(now, owners.names)
 	a.mu.Unlock()
 	for _, d := range requests {
@@ -153,11 +153,14 @@
 	}
 }
 
-func (l *Limiter) shardOwners(c pomelo.ClientAccount) shardOwners {
-	n := pomelo.ShardCount(c)
-	owners := shardOwners{members: make([]pomelo.Member, n), names: make([]string, n)}
-	for i := range n {
-		m, ok := l.ownership.Owner(shardResource(c, i))
+// shardOwners returns the owners of the shards that concern this node; the caller holds the account's lock.
+func (l *Limiter) shardOwners(a *account) shardOwners {
+	owners := shardOwners{members: make([]pomelo.Member, pomelo.MaxShards), names: make([]string, pomelo.MaxShards)}
+	for i := range pomelo.MaxShards {
+		if !a.pool.Concerns(i) {
+			continue
+		}
+		m, ok := l.ownership.Owner(shardResource(a.name, i))
 		if ok {
 			owners.members[i] = m
 			owners.names[i] = m.VM + " " + m.Incarnation
@@ -175,7 +178,7 @@
 	return pomelo.Member{}
 }
 
-// shardResource returns the resource name of a shard; the shards of another shard count are other resources.
-func shardResource(c pomelo.ClientAccount, shard int) string {
-	return "rate/" + c.Name + "/" + strconv.Itoa(pomelo.ShardCount(c)) + "/" + strconv.Itoa(shard)
+// shardResource returns the resource name of a shard, which no change of the account's rate and burst changes.
+func shardResource(account string, shard int) string {
+	return "rate/" + account + "/" + strconv.Itoa(shard)
 }
--- a/view/policy.go
+++ b/view/policy.go
@@ -63,9 +63,15 @@
 		v.log.Warn("policy_unusable", "revision", r.Revision, "source", source, "error", err.Error())
 		return
 	}
-	if v.replacePolicy(spec, r, source) && spec.KeysRequired {
+	if !v.replacePolicy(spec, r, source) {
+		return
+	}
+	if spec.KeysRequired {
 		v.requireKeys("policy")
 	}
+	for _, f := range v.onPolicy {
+		f()
+	}
 }
 
 // replacePolicy puts the policy in force, and reports false if it is not a later one.
--- a/view/view.go
+++ b/view/view.go
@@ -62,6 +62,7 @@
 	onRecord       map[string]func(pomelo.Record)
 	onOverwritten  []func()
 	onKeysRequired []func()
+	onPolicy       []func()
 	// evacuationPrefix is the prefix of the evacuations' records; empty if evacuations don't apply.
 	evacuationPrefix string
 	zones            *zones.Evacuations
@@ -153,6 +154,11 @@
 	v.onOverwritten = append(v.onOverwritten, f)
 }
 
+// OnPolicy registers a function that is called after each change of the policy; it must be called before Run.
+func (v *View) OnPolicy(f func()) {
+	v.onPolicy = append(v.onPolicy, f)
+}
+
 // OnKeysRequired registers a function that is called once a policy has required keys, possibly more than once; it must be called before Run.
 func (v *View) OnKeysRequired(f func()) {
 	v.onKeysRequired = append(v.onKeysRequired, f)
--- a/wiring/fleet.go
+++ b/wiring/fleet.go
@@ -45,5 +45,7 @@
 }
 
 func newRateLimiter(v *config.View, k *quorum.Coordinator, r *member.Registry, d *dialer.Pool, c pomelo.MonotonicClock, m pomelo.Metrics) *rates.Limiter {
-	return rates.New(v, k, r, d, c, m, newSeed())
+	l := rates.New(v, k, r, d, c, m, newSeed())
+	v.OnAccounts(l.ApplyAccounts)
+	return l
 }
