view: a read proves only the policy that it showed

Cause: read confirmed the policy in force whatever the read had shown, and other nodes took that proof over. The age of the keys stayed below the bound.

Change: a proof names the version that the read showed. A document is decoded once, and one that can't be is logged once.

--- a/view/policy.go
+++ b/view/policy.go
@@ -1,6 +1,8 @@
 package view
 
 import (
+	"bytes"
+
 	"github.com/cockroachdb/errors"
 	"github.com/pomeloworks/pomelo"
 	"github.com/pomeloworks/pomelo/guard"
@@ -39,9 +41,9 @@
 	return v.ageOf(v.proof.ProvenAt())
 }
 
-// confirmPolicy records that a read of the epoch that began at start showed the current policy; the mutex must be held.
-func (v *View) confirmPolicy(epoch int64, start pomelo.Millis) {
-	if v.policy == nil || v.needsConsultation() {
+// confirmPolicy records that a read of the epoch that began at start showed this version of the policy; the mutex must be held.
+func (v *View) confirmPolicy(epoch int64, start pomelo.Millis, shown int64) {
+	if v.policy == nil || v.needsConsultation() || !v.proves(shown) {
 		return
 	}
 	provenAt, known := v.proof.ProvenAt()
@@ -53,18 +55,41 @@
 	}
 }
 
-// adoptPolicy replaces the policy by one of a higher version and ignores an invalid one.
-func (v *View) adoptPolicy(r pomelo.Record, source string) {
+// proves reports whether a read that showed this version proves the policy in force: only its own version does, or an older one after the store has returned from a copy. The mutex must be held.
+func (v *View) proves(shown int64) bool {
+	if shown == unreadableVersion {
+		return false
+	}
+	if shown == v.policy.Version() {
+		return true
+	}
+	_, returned := v.proof.EpochAge(v.clock.Monotonic())
+	return shown < v.policy.Version() && (returned || v.isFromPeer)
+}
+
+// Further source of a policy in the log; another one is the VM of the node that had it.
+const (
+	sourceRead = "read"
+)
+
+// unreadableVersion is that of a policy whose version can't be read; a store without a policy shows the version 0.
+const unreadableVersion = -1
+
+// adoptPolicy replaces the policy by one of a higher version, and returns the version of the record, or unreadableVersion.
+func (v *View) adoptPolicy(r pomelo.Record, source string) int64 {
 	if r.Key != v.policyKey || r.Deleted {
-		return
+		return 0
+	}
+	if version, ok := v.versionOf(r); ok {
+		return version
 	}
 	spec, err := v.parsePolicy(r.Value)
 	if err != nil {
-		v.log.Warn("policy_unusable", "revision", r.Revision, "source", source, "error", err.Error())
-		return
+		v.notePolicyUnusable(r, source, err)
+		return unreadableVersion
 	}
 	if !v.replacePolicy(spec, r, source) {
-		return
+		return spec.Version
 	}
 	if spec.KeysRequired {
 		v.requireKeys("policy")
@@ -72,6 +97,45 @@
 	for _, f := range v.onPolicy {
 		f()
 	}
+	return spec.Version
+}
+
+// versionOf returns the version of a record that has been read before.
+func (v *View) versionOf(r pomelo.Record) (int64, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.policy != nil && bytes.Equal(r.Value, v.policyValue) {
+		v.clearPolicyUnusable()
+		return v.policy.Version(), true
+	}
+	if v.unusableValue != nil && bytes.Equal(r.Value, v.unusableValue) {
+		return unreadableVersion, true
+	}
+	return 0, false
+}
+
+// notePolicyUnusable logs a policy that can't be read, once.
+func (v *View) notePolicyUnusable(r pomelo.Record, source string, err error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.unusableValue = r.Value
+	v.gauge("policy.unusable", 1)
+	v.log.Warn("policy_unusable", "revision", r.Revision, "source", source, "error", err.Error(), "keys_refused_after_ms", v.maxPolicyAge)
+}
+
+// clearPolicyUnusable notes that the newest policy can be read; the mutex must be held.
+func (v *View) clearPolicyUnusable() {
+	if v.unusableValue == nil {
+		return
+	}
+	v.unusableValue = nil
+	v.gauge("policy.unusable", 0)
+}
+
+func (v *View) gauge(name string, value float64) {
+	if v.metrics != nil {
+		v.metrics.Gauge(name, value)
+	}
 }
 
 // replacePolicy puts the policy in force, and reports false if it is not a later one.
@@ -81,11 +145,13 @@
 	if v.policy != nil && spec.Version <= v.policy.Version() {
 		return false
 	}
+	v.clearPolicyUnusable()
 	hasAccounts := spec.KeysRequired
 	spec.KeysRequired = hasAccounts || v.keysRequired
 	v.spec = spec
 	v.policy = policy.New(spec)
 	v.policyValue = r.Value
+	v.isFromPeer = source != sourceRead && source != sourceWatch
 	v.log.Info("policy_adopted", "version", spec.Version, "revision", r.Revision, "source", source, "routes", len(spec.Routes), "accounts", len(spec.Accounts), "keys_required", spec.KeysRequired)
 	if !hasAccounts && spec.KeysRequired {
 		v.log.Warn("policy_without_accounts", "version", spec.Version, "remedy", "to accept requests without a key, open their routes")
--- a/view/relay.go
+++ b/view/relay.go
@@ -123,7 +123,7 @@
 		return false
 	}
 	// An older proof is applied as well if changes are relayed: for a node that the store does not respond to, it may be the newest to be had.
-	v.confirmPolicy(r.Epoch, start-r.PolicyAge)
+	v.confirmPolicy(r.Epoch, start-r.PolicyAge, r.PolicyVersion)
 	v.comparePosition(pomelo.Position{Epoch: r.Epoch, Revision: r.WatchedRevision}, start-r.MembersAge)
 	if isRecent {
 		v.metrics.Count("view.relayed", 1)
--- a/view/view.go
+++ b/view/view.go
@@ -48,9 +48,13 @@
 	keysRequired bool
 	// policyValue is the policy as the store has it.
 	policyValue []byte
-	proof       *proof.Proof
-	census      *census.Census
-	watchLag    lag
+	// unusableValue is the last policy that could not be read, unless a later one could.
+	unusableValue []byte
+	// isFromPeer marks a policy that another node had.
+	isFromPeer bool
+	proof      *proof.Proof
+	census     *census.Census
+	watchLag   lag
 	// consultedEpoch is the epoch of the store in which peers were last asked for a later policy than the store's.
 	consultedEpoch int64
 	maxPolicyAge   pomelo.Millis
@@ -265,12 +269,15 @@
 		return err
 	}
 	v.observeEpoch(l.Epoch)
+	shown := int64(0)
 	for _, r := range l.Records {
-		v.adoptPolicy(r, "read")
+		if r.Key == v.policyKey {
+			shown = v.adoptPolicy(r, sourceRead)
+		}
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.confirmPolicy(l.Epoch, start)
+	v.confirmPolicy(l.Epoch, start, shown)
 	v.comparePosition(l.Position(), start)
 	return nil
 }
--- a/view/watch.go
+++ b/view/watch.go
@@ -158,7 +158,7 @@
 	now := v.clock.Monotonic()
 	for _, r := range l.Records {
 		if r.Key == v.policyKey {
-			v.adoptPolicy(r, "watch")
+			v.adoptPolicy(r, sourceWatch)
 			continue
 		}
 		if strings.HasPrefix(r.Key, pomelo.PrefixMember) {
