--- a/intake/balancer.go
+++ b/intake/balancer.go
@@ -9,7 +9,7 @@
 // balancer distributes each route's requests over its targets by weight, so that any sequence of requests keeps the proportions.
 type balancer struct {
 	mu      sync.Mutex
-	current map[string][]int
+	current map[string][]float64
 }
 
 // next returns the service of the next target by smooth weighted round robin.
@@ -21,10 +21,10 @@
 	defer b.mu.Unlock()
 	current := b.current[r.Name]
 	if len(current) != len(r.Targets) {
-		current = make([]int, len(r.Targets))
+		current = make([]float64, len(r.Targets))
 		b.current[r.Name] = current
 	}
-	best, total := -1, 0
+	best, total := -1, 0.0
 	for i, t := range r.Targets {
 		current[i] += t.Weight
 		total += t.Weight
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -59,7 +59,7 @@
 		log:       log,
 		service:   service,
 		maxKeyAge: maxKeyAge,
-		balancer:  balancer{current: map[string][]int{}},
+		balancer:  balancer{current: map[string][]float64{}},
 		answers:   sizes.New(math.MaxInt64),
 	}
 	for _, o := range opts {
--- a/policy_spec.go
+++ b/policy_spec.go
@@ -35,7 +35,7 @@
 // RouteTarget is one service of a route, with its weight among the route's targets.
 type RouteTarget struct {
 	Service string
-	Weight  int
+	Weight  float64
 }
 
 // MaxImportance is the highest importance of a route, and of a client account.
