policy: what can't be read of a document costs only itself

Cause: one value of another type, or one check that failed, cost the whole document.

Change: the document is decoded in parts, by field. What can't be read is a gap, and policy.Complete takes it from the last good policy where that gives no caller a right that the document may have taken away; else the route or the keys are refused with 503. Where the table of accounts can't be read, nothing proves the keys. Each part is logged once for a version, and counted.

Failing run, on: TestOddPolicy in its three forms; TestUnreadablePolicy for accounts that are null. Pass now, with TestOddFields (15 fields, 10 odd values each), TestOddAccounts, TestOddRoutes, and 10 s of FuzzPolicyRights.

Changed tests: TestPolicies wanted an error for a policy with an unknown service, a route without a timeout or attempts, or a prefix without slashes. That was the fault: the rest of the document was lost with it. It wants no request to run on such a route, or one attempt.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -123,6 +123,9 @@
 	if !ok {
 		return c, pomelo.NewFault(pomelo.KindNoRoute, "no route matches the host and path", "check them, or ask the operators to add a route")
 	}
+	if route.Unread {
+		return c, unreadFault("the route can't be read")
+	}
 	c = i.fillCall(c, q, route, arrivedAt)
 	if f := i.stop.limit(&c, arrivedAt); f != nil {
 		return c, f
@@ -140,6 +143,13 @@
 	return c, i.rates.Admit(ctx, c)
 }
 
+// unreadFault refuses a request for which the policy has a part that can't be read; another version will have it.
+func unreadFault(message string) *pomelo.Fault {
+	f := pomelo.NewFault(pomelo.KindNotAuthoritative, message, "come back after the given time, or ask the operators to write the policy again")
+	f.RetryAfter = staleKeysRetryAfter
+	return f
+}
+
 // reserveAnswer takes the memory for the answer that the call's route is expected to give, or returns the refusal of a call that would run in vain.
 func (i *Intake) reserveAnswer(ctx context.Context, c pomelo.Call) *pomelo.Fault {
 	err := hold.FromContext(ctx).Reserve(i.answers.Expect(c.RouteName))
@@ -206,6 +216,9 @@
 		return pomelo.NewFault(pomelo.KindNoKey, "the request carries no key", "send the client account's key")
 	}
 	a, ok := p.AccountByKey(q.KeyID)
+	if !ok && p.IsKeyUnread(q.KeyID) {
+		return unreadFault("the account of the key can't be read")
+	}
 	if !ok {
 		return pomelo.NewFault(pomelo.KindKeyUnknown, "the key is not known", "check the key, or ask the operators for a new one")
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -20,6 +20,7 @@
 	accounts     map[string]pomelo.TrafficAccount
 	services     map[string]pomelo.TrafficService
 	keys         map[string]string
+	unreadKeys   map[string]bool
 }
 
 var _ pomelo.Policy = (*Policy)(nil)
@@ -34,6 +35,10 @@
 		accounts:     map[string]pomelo.TrafficAccount{},
 		services:     map[string]pomelo.TrafficService{},
 		keys:         map[string]string{},
+		unreadKeys:   map[string]bool{},
+	}
+	for _, k := range spec.UnreadKeyIDs {
+		p.unreadKeys[k] = true
 	}
 	for _, r := range spec.Routes {
 		p.routes[r.Host] = append(p.routes[r.Host], r)
@@ -99,6 +104,11 @@
 	return p.Account(name)
 }
 
+// IsKeyUnread reports whether the key is one of an account that could not be read.
+func (p *Policy) IsKeyUnread(keyID string) bool {
+	return p.unreadKeys[keyID]
+}
+
 // Account returns the client account with this name.
 func (p *Policy) Account(name string) (pomelo.TrafficAccount, bool) {
 	a, ok := p.accounts[name]
--- a/policy_spec.go
+++ b/policy_spec.go
@@ -9,6 +9,11 @@
 	Accounts     []TrafficAccount
 	Services     []TrafficService
 	Limits       TrafficLimits
+	// Gaps are the tables and limits that could not be read, and Unread names all parts of which that is true.
+	Gaps   Gaps
+	Unread []UnreadPart
+	// UnreadKeyIDs are keys of accounts that could not be read: it is not known whether they still hold.
+	UnreadKeyIDs []string
 }
 
 // TrafficRoute sends the requests for a host and path prefix to its targets.
@@ -30,6 +35,9 @@
 	Importance int
 	// Regions are the only regions in which the route's calls may run; empty allows any.
 	Regions []string
+	// Gaps are the fields that could not be read; a route that can't be used without them is Unread, and its requests are refused.
+	Gaps   Gaps
+	Unread bool
 }
 
 // RouteTarget is one service of a route, with its weight among the route's targets.
@@ -53,6 +61,8 @@
 	Importance int
 	// Regions are the only regions in which the account's calls may run; empty allows any.
 	Regions []string
+	// Gaps are the fields that could not be read.
+	Gaps Gaps
 }
 
 // IsLimited reports whether the account has a rate; without one its requests are not limited.
@@ -76,6 +86,8 @@
 	Match(host, path string) (TrafficRoute, bool)
 	// AccountByKey returns the client account that owns the key.
 	AccountByKey(keyID string) (TrafficAccount, bool)
+	// IsKeyUnread reports whether the key is one of an account that could not be read.
+	IsKeyUnread(keyID string) bool
 	Account(name string) (TrafficAccount, bool)
 	// Accounts returns the client accounts ordered by name.
 	Accounts() []TrafficAccount
--- a/traffic_service.go
+++ b/traffic_service.go
@@ -9,4 +9,6 @@
 	WarmupTime Millis
 	// WarmupPerSecond is the number of call starts a second that a cold upstream tolerates; 0 means no limit.
 	WarmupPerSecond float64
+	// Gaps are the fields that could not be read.
+	Gaps Gaps
 }
--- a/view/policy.go
+++ b/view/policy.go
@@ -55,9 +55,9 @@
 	}
 }
 
-// proves reports whether a read that showed this version proves the policy in force: only its own version does, or an older one after the store has returned from a copy. The mutex must be held.
+// proves reports whether a read that showed this version proves the policy in force: only its own version does, as far as its accounts could be read, or an older one after the store has returned from a copy. The mutex must be held.
 func (v *View) proves(shown int64) bool {
-	if shown == unreadableVersion {
+	if v.spec.Gaps.Has(pomelo.GapAccounts) || shown == unreadableVersion {
 		return false
 	}
 	if shown == v.policy.Version() {
@@ -123,6 +123,19 @@
 	v.log.Warn("policy_unusable", "revision", r.Revision, "source", source, "error", err.Error(), "keys_refused_after_ms", v.maxPolicyAge)
 }
 
+// notePartsUnread logs and counts the parts of a policy that can't be read; the mutex must be held.
+func (v *View) notePartsUnread(spec pomelo.PolicySpec) {
+	v.clearPolicyUnusable()
+	v.gauge("policy.parts_unread", float64(len(spec.Unread)))
+	for i, x := range spec.Unread {
+		if i == maxPartsLogged {
+			v.log.Warn("policy_parts_unread", "version", spec.Version, "count", len(spec.Unread), "remedy", "write the policy again with a higher version")
+			return
+		}
+		v.log.Warn("policy_part_unread", "version", spec.Version, "kind", x.Kind, "name", x.Name, "reason", x.Reason, "remedy", "write it again with a higher version")
+	}
+}
+
 // clearPolicyUnusable notes that the newest policy can be read; the mutex must be held.
 func (v *View) clearPolicyUnusable() {
 	if v.unusableValue == nil {
@@ -138,6 +151,9 @@
 	}
 }
 
+// maxPartsLogged is the number of unread parts of one policy that are logged one by one.
+const maxPartsLogged = 20
+
 // replacePolicy puts the policy in force, and reports false if it is not a later one.
 func (v *View) replacePolicy(spec pomelo.PolicySpec, r pomelo.Record, source string) bool {
 	v.mu.Lock()
@@ -145,7 +161,8 @@
 	if v.policy != nil && spec.Version <= v.policy.Version() {
 		return false
 	}
-	v.clearPolicyUnusable()
+	v.notePartsUnread(spec)
+	spec = policy.Complete(v.spec, spec)
 	hasAccounts := spec.KeysRequired
 	spec.KeysRequired = hasAccounts || v.keysRequired
 	v.spec = spec
