policy: completing a policy takes time by its length, and by its parts that can't be read

Cause: each route of a new version was looked up among all routes of the one before, also when nothing of it was missing; and each route's services among all services.

--- a/policy/complete.go
+++ b/policy/complete.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/pomeloworks/pomelo"
@@ -44,6 +45,9 @@
 	out := slices.Clone(next)
 	for i := range out {
 		s := &out[i]
+		if s.Gaps == 0 {
+			continue
+		}
 		at := slices.IndexFunc(previous, func(l pomelo.TrafficService) bool { return l.Name == s.Name })
 		if at < 0 {
 			continue
@@ -61,8 +65,12 @@
 
 // completeRoutes leaves out routes whose place is not known.
 func completeRoutes(previous, next []pomelo.TrafficRoute) []pomelo.TrafficRoute {
-	var out []pomelo.TrafficRoute
+	out := make([]pomelo.TrafficRoute, 0, len(next))
 	for _, r := range next {
+		if r.Gaps == 0 {
+			out = append(out, r)
+			continue
+		}
 		at := slices.IndexFunc(previous, func(l pomelo.TrafficRoute) bool { return l.Name == r.Name })
 		var last pomelo.TrafficRoute
 		if at >= 0 {
@@ -118,36 +126,46 @@
 
 // completeAccounts takes away the keys of accounts that can't be used without what could not be read of them.
 func completeAccounts(previous, next pomelo.PolicySpec) pomelo.PolicySpec {
-	accounts := slices.Clone(next.Accounts)
-	held := map[string]bool{}
-	var unread []string
-	for i := range accounts {
-		a := &accounts[i]
+	next.Accounts = slices.Clone(next.Accounts)
+	unread := next.UnreadKeyIDs
+	for i := range next.Accounts {
+		a := &next.Accounts[i]
+		if a.Gaps == 0 {
+			continue
+		}
 		at := slices.IndexFunc(previous.Accounts, func(l pomelo.TrafficAccount) bool { return l.Name == a.Name })
 		var last pomelo.TrafficAccount
 		if at >= 0 {
 			last = previous.Accounts[at]
 		}
 		if a.Gaps.Has(pomelo.GapKeys) {
-			unread = append(unread, last.KeyIDs...)
-			unread = append(unread, previous.UnreadKeyIDs...)
+			unread = slices.Concat(unread, last.KeyIDs, previous.UnreadKeyIDs)
 		}
 		completeAccount(last, at >= 0, a)
 		if !isUsable(last, at >= 0, *a) {
-			unread = append(unread, a.KeyIDs...)
+			unread = slices.Concat(unread, a.KeyIDs)
 			a.KeyIDs = nil
 		}
-		for _, k := range a.KeyIDs {
-			held[k] = true
-		}
 	}
-	next.Accounts = accounts
-	for _, k := range append(unread, next.UnreadKeyIDs...) {
-		if !held[k] && !slices.Contains(next.UnreadKeyIDs, k) {
-			next.UnreadKeyIDs = append(next.UnreadKeyIDs, k)
+	next.UnreadKeyIDs = withoutHeld(unread, next.Accounts)
+	return next
+}
+
+// withoutHeld returns the keys, each once, that no account holds.
+func withoutHeld(keys []string, accounts []pomelo.TrafficAccount) []string {
+	if len(keys) == 0 {
+		return nil
+	}
+	left := map[string]bool{}
+	for _, k := range keys {
+		left[k] = true
+	}
+	for _, a := range accounts {
+		for _, k := range a.KeyIDs {
+			delete(left, k)
 		}
 	}
-	return next
+	return slices.Sorted(maps.Keys(left))
 }
 
 func completeAccount(last pomelo.TrafficAccount, hasLast bool, a *pomelo.TrafficAccount) {
